--- a/myrtlestage/__init__.py
+++ b/lapispick/__init__.py
@@ -1,6 +1,6 @@
 """Overload control inside each server: admission by worth against priced slots."""
 
-from myrtlestage.control import Controller
-from myrtlestage.interface import ClassSettings, Settings
+from lapispick.control import Controller
+from lapispick.interface import ClassSettings, Settings
 
 __all__ = ["ClassSettings", "Controller", "Settings"]
--- a/myrtlestage/benchlink.py
+++ b/lapispick/benchlink.py
@@ -7,9 +7,9 @@
 from collections.abc import Mapping
 from typing import Any, BinaryIO
 
-from myrtlestage import interface as api
-from myrtlestage import wire
-from myrtlestage.control import Controller
+from lapispick import interface as api
+from lapispick import wire
+from lapispick.control import Controller
 
 COST_KNOWN = 1  # the bit of a valid cost hint
 EFFECTS = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
@@ -146,7 +146,7 @@
                 actions = self.controllers[inst].step(clock, events)
                 out.extend(ENCODERS[type(a)](inst, a) for a in actions)
             except Exception as err:
-                print(f"myrtlestage: instance {inst} failed: {err!r}", file=sys.stderr)
+                print(f"lapispick: instance {inst} failed: {err!r}", file=sys.stderr)
                 out.append(wire.encode_text(wire.FATAL, inst, f"decision code failed: {err!r}"))
         return wire.encode_reply(number, out)
 
@@ -180,10 +180,10 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as err:
-        print(f"myrtlestage: malformed input: {err}", file=sys.stderr)
+        print(f"lapispick: malformed input: {err}", file=sys.stderr)
         return 1
     except BrokenPipeError:
-        print("myrtlestage: standard output was closed", file=sys.stderr)
+        print("lapispick: standard output was closed", file=sys.stderr)
         return 1
     return 0
 
--- a/myrtlestage/control.py
+++ b/lapispick/control.py
@@ -1,4 +1,4 @@
-"""Every decision of myrtlestage. The types, events and actions are in ``myrtlestage/interface.py``.
+"""Every decision of lapispick. The types, events and actions are in ``lapispick/interface.py``.
 
 A request is admitted under pressure only if its worth clears the shadow prices on the hold and cost it uses,
 and runs only under the limit L. Around that path stand the guards of the four rules. ``Controller`` is last.
@@ -13,12 +13,12 @@
 from itertools import combinations
 from math import exp, inf
 
-from myrtlestage.interface import (
+from lapispick.interface import (
     Action, Advert, Advertise, Call, CallEnded, ClassSettings, Effect, Event, Fail, ForgetKey, Gone,
     GoWithout, Halting, Join, KeepKey, Leave, LimitIdle, Log, NeedsCall, Outcome, Refuse, Request, Run,
     RunEnded, SetHealth, Settings, SetTimer, Stop, TimerFired,
 )
-from myrtlestage.state import CALLING, HELD, JOINED, OVER, RUNNING, WANTS_CALL, Entry
+from lapispick.state import CALLING, HELD, JOINED, OVER, RUNNING, WANTS_CALL, Entry
 
 # Tuned values: unit, then the reason.
 TICK_MS = 40.0  # ms; the one timer: under the slack of the due time, few enough to be cheap
--- a/myrtlestage/state.py
+++ b/lapispick/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from myrtlestage.interface import Request
+from lapispick.interface import Request
 
 HELD, RUNNING, CALLING, WANTS_CALL, JOINED, OVER = range(6)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from myrtlestage import ClassSettings, Controller, Settings
-from myrtlestage import interface as api
+from lapispick import ClassSettings, Controller, Settings
+from lapispick import interface as api
 
 
 def make_class(**over):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from myrtlestage import Controller
-from myrtlestage import interface as api
-from myrtlestage.interface import (
+from lapispick import Controller
+from lapispick import interface as api
+from lapispick.interface import (
     Advertise,
     Call,
     CallEnded,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from myrtlestage import interface as api
-from myrtlestage.interface import (
+from lapispick import interface as api
+from lapispick.interface import (
     Call,
     CallEnded,
     Fail,
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-CONTROL = (ROOT / "myrtlestage/control.py").read_text().splitlines()
+CONTROL = (ROOT / "lapispick/control.py").read_text().splitlines()
 
 
 def test_the_module_stays_readable_in_an_hour():
@@ -13,10 +13,10 @@
 
 
 def test_the_module_names_its_interface_and_reads_nothing_outside():
-    assert "myrtlestage/interface.py" in "\n".join(CONTROL[:3])
+    assert "lapispick/interface.py" in "\n".join(CONTROL[:3])
     imports = [line for line in CONTROL if re.match(r"(from|import) ", line)]
-    allowed = ("__future__", "random", "collections", "heapq", "itertools", "math", "myrtlestage.interface",
-               "myrtlestage.state")
+    allowed = ("__future__", "random", "collections", "heapq", "itertools", "math", "lapispick.interface",
+               "lapispick.state")
     assert all(line.split()[1].startswith(allowed) for line in imports)
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from myrtlestage import benchlink, wire
-from myrtlestage import interface as api
+from lapispick import benchlink, wire
+from lapispick import interface as api
 
 BATCH = bytes.fromhex(
     "00000083" "40c06e2000000000" "0000000c"
@@ -85,7 +85,7 @@
 
 
 def run_adapter(data):
-    command = [sys.executable, "-m", "myrtlestage.benchlink"]
+    command = [sys.executable, "-m", "lapispick.benchlink"]
     return subprocess.run(command, input=data, capture_output=True, timeout=30)
 
 
