--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -10,8 +10,9 @@
 import time
 
 from lapispick.host import core
+from lapispick.host.amqp.consumer import AmqpFront
 from lapispick.host.clients import Gateways
-from lapispick.host.config import Config, ConfigError, load
+from lapispick.host.config import Config, ConfigError, Consume, load, load_amqp
 from lapispick.host.core import Core
 from lapispick.host.executor import ExecutorLink
 from lapispick.host.logs import log, setup
@@ -41,14 +42,16 @@
     end_at = time.monotonic() + stop_ms / 1000
     loop.sleep(max(0.0, end_at - CLOSE_LISTENER_S - time.monotonic()))
     gateways.close_listener()
-    while time.monotonic() < end_at - END_S and not (
-            centre.owed == 0 and gateways.flushed() and time.monotonic() > end_at - CLOSE_LISTENER_S / 2):
+    loop.sleep(CLOSE_LISTENER_S / 2)  # what came with the last connections is read meanwhile
+    while time.monotonic() < end_at - END_S:
+        if centre.owed == 0 and all(front.flushed() for front in centre.fronts):
+            break
         loop.sleep(0.01)
     log(LOG, logging.INFO, "ended", owed=centre.owed)
     loop.stop()
 
 
-def run(config: Config) -> None:
+def run(config: Config, consume: Consume | None) -> None:
     """Run the worker host until it was told to leave."""
     loop, settings = Loop(), config.start
     centre = Core(loop, settings, int(config.seed, 16))
@@ -60,6 +63,10 @@
     gateways = Gateways(loop, config.address("listen"), config.settings, settings, sockets * 5 // 8,
                         centre.post, lambda: centre.advice)
     centre.fronts.append(gateways)
+    if consume is not None:
+        amqp = AmqpFront(loop, consume, config.settings, settings, centre.post)
+        centre.fronts.append(amqp)
+        amqp.start()
 
     def leave() -> None:
         watch_signals(loop, centre, config.stop_ms)
@@ -67,7 +74,7 @@
 
     for part in (centre.serve, executor.serve, roster.serve, gateways.serve, leave):
         loop.spawn(part)
-    log(LOG, logging.INFO, "started", name=config.name, listen=config.listen)
+    log(LOG, logging.INFO, "started", name=config.name, listen=gateways.address)
     gc.freeze()
     loop.run()
 
@@ -76,7 +83,8 @@
     """Start from the environment; 2 for a faulty configuration."""
     setup()
     try:
-        run(load())
+        config = load()
+        run(config, load_amqp(config.settings))
     except ConfigError as err:
         log(LOG, logging.ERROR, "config-faulty", fault=err)
         return 2
--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -15,6 +15,7 @@
 
 from lapispick import interface as api
 from lapispick.host import core
+from lapispick.host.core import BODY_MOST, KB_MOST
 from lapispick.host.logs import log
 from lapispick.host.loop import READ, Loop, Overlong, Stream
 from lapispick.settings import Info
@@ -23,8 +24,6 @@
 LONGEST = 32 * 1024  # bytes of one message; a body holds 2 KiB
 OUT_MOST = 512 * 1024  # bytes that wait for a slow reader; 32 full answers are under half of it
 OPEN_MOST = 32  # requests on one connection
-BODY_MOST = 2048  # bytes
-KB_MOST = 2000.0
 BACKLOG = 1024
 ACCEPTS = 64  # in one round, so that a flood of connections leaves time for the rest
 SWEEP_S = 0.1  # s; between two looks for idle connections
@@ -238,6 +237,7 @@
         self._sock.bind(listen)
         self._sock.listen(BACKLOG)
         self._listening = True
+        self.address = "{}:{}".format(*self._sock.getsockname()[:2])
 
     def serve(self) -> None:
         """Accept connections until told to close."""
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -22,6 +22,8 @@
 GHOST_MS = 30_000.0  # ms; an entry is kept this much longer for repeats that are read late
 SWEEP_S = 1.0  # s; between two looks for entries that ran out
 TALLY_S = 10.0  # s; between two log lines with what was answered
+BODY_MOST = 2048  # bytes of a request's body, from any front
+KB_MOST = 2000.0  # KB; the memory booked for a held request stays under this
 NOT_READY_MS = 500.0  # ms; when to come back to a host whose executor is not up yet
 
 SERVED, REFUSED, FAILED = "served", "refused", "failed"
@@ -164,6 +166,7 @@
 
     def limit_idle(self, span_ms: float) -> None: ...  # noqa: D102
     def leave(self) -> None: ...  # noqa: D102
+    def flushed(self) -> bool: ...  # noqa: D102
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -313,10 +313,10 @@
             self.sock.close()
 
 
-def address(text: str) -> tuple[str, int]:
+def address(text: str, least: int = 1) -> tuple[str, int]:
     """Split ``host:port``; raises ``ValueError``."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not colon or not host or not port.isdecimal() or not least <= int(port) < 65536:
         raise ValueError(f"{text!r} is not host:port")
     return host.strip("[]"), int(port)
 
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,301 @@
+"""Stand-ins for all that the worker host talks to, and the worker host itself as a process."""
+
+import base64
+import json
+import os
+import random
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from lapispick.host.amqp import codec
+
+WAIT = 15.0  # s; how long anything may take that is expected to happen
+INFO = {
+    "Bounds": {"MaxRetryAfter": 1000.0, "RetryAfter": True},
+    "FamilyInfo": {"Advert": "level", "Below": "shared", "CallsOut": 5.0, "ClassSkipWorth": [0.3, 0.0],
+                   "Cold": False, "Cores": 2, "DepWindow": 5000.0, "Halt": "drop", "Idle": 30000.0,
+                   "Gauges": ["core_use", "on_cores", "heap_share", "links"], "KbPerKey": 10.0,
+                   "MemoryKb": 100000.0, "RunMemFactor": 8.0, "Upstreams": 3, "Readiness": True},
+    "Guarantees": {"ColdFrom": 0.2, "DrainGrace": 1800.0, "FallMultiple": 8.0, "WarmUp": 16000.0},
+    "Layer": 0, "ValueBy": "request",
+    "Parties": [{"Name": "shop"}],
+    "Services": [
+        {"GiveUp": 4800.0, "Idempotency": "idempotent", "LateWorth": 0.0, "Name": "track", "Promise": 2000.0,
+         "Window": 5000.0, "Worth": 1.0},
+        {"GiveUp": 4800.0, "Idempotency": "deduplicated", "LateWorth": 0.2, "Name": "book",
+         "Promise": 2000.0, "Window": 3000.0, "Worth": 5.0}],
+}
+
+
+def until(condition, what="what was waited for"):
+    """Wait for a condition and return its value."""
+    end = time.monotonic() + WAIT
+    while not (value := condition()):
+        assert time.monotonic() < end, f"{what} did not happen"
+        time.sleep(0.005)
+    return value
+
+
+def b64(text):
+    return base64.b64encode(text.encode() if isinstance(text, str) else text).decode()
+
+
+class Server:
+    """Accepts connections on an ephemeral port, with a thread for each."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.at = "127.0.0.1:{}".format(self.sock.getsockname()[1])
+        self.lock = threading.RLock()
+        self.links = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                link, _ = self.sock.accept()
+            except OSError:
+                return
+            self.links.append(link)
+            threading.Thread(target=self._guarded, args=(link,), daemon=True).start()
+
+    def _guarded(self, link):
+        try:
+            self.talk(link)
+        except (OSError, ValueError, codec.CodecError):
+            pass
+        finally:
+            link.close()
+
+    def cut(self):
+        """Break all connections."""
+        for link in self.links:
+            try:
+                link.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.links.clear()
+
+    def close(self):
+        self.sock.close()
+        self.cut()
+
+
+class Executor(Server):
+    """Runs by what the body says: ``hold`` waits for ``end``, ``call:X`` asks for a call, else it ends at once.
+
+    With ``work_s``, as many runs as there are cores take that long, and the others wait.
+    """
+
+    def __init__(self, work_s=0.0, cores=2):
+        self.runs, self.commands, self.notices, self.link = [], [], [], None
+        self.work_s, self.slots, self.cold = work_s, threading.Semaphore(cores), False
+        self.deaf = False  # reads commands and does nothing, like a link about to break
+        super().__init__()
+
+    def talk(self, link):
+        for line in link.makefile("rb"):
+            command = json.loads(line)
+            with self.lock:
+                if not self.deaf:
+                    self.commands.append(command)
+                    getattr(self, "on_" + command["verb"].lower())(link, command)
+
+    def send(self, link, **message):
+        link.sendall(json.dumps(message).encode() + b"\n")
+
+    def tell(self, **notice):
+        """Send a numbered notice on the present link, if there is one, and keep it."""
+        with self.lock:
+            notice["index"] = len(self.notices) + 1
+            self.notices.append(notice)
+            try:
+                self.send(self.link, **notice)
+            except OSError:
+                pass
+
+    def on_join(self, link, command):
+        self.link = link
+        self.send(link, verb="WELCOME", outcome="chilly" if self.cold else "hot", spent=1000)
+        for notice in self.notices[command["index"]:]:
+            self.send(link, **notice)
+
+    def on_exec(self, link, command):
+        body = base64.b64decode(command["bytes"]).decode()
+        self.runs.append((command["task"], command["handler"], body))
+        if body.startswith("call:"):
+            self.tell(verb="CALLOUT", task=command["task"], bytes=b64(body[5:]))
+        elif body == "error":
+            self.end(command["task"], outcome="error", result="")
+        elif self.work_s:
+            threading.Thread(target=self._work, args=(command["task"], body), daemon=True).start()
+        elif body != "hold":
+            self.end(command["task"], result=f"did {body}")
+
+    def _work(self, task, body):
+        with self.slots:
+            time.sleep(self.work_s)
+        self.end(task, result=f"did {body}")
+
+    def end(self, task, outcome="complete", result="done"):
+        self.tell(verb="EXIT", task=task, outcome=outcome, spent=20.0, bytes=b64(result))
+
+    def on_kill(self, link, command):
+        self.end(command["task"], outcome="cancelled", result="")
+
+    def on_return(self, link, command):
+        self.end(command["task"], result=base64.b64decode(command["bytes"]))
+
+    def on_bypass(self, link, command):
+        self.end(command["task"], result="poorer")
+
+    def on_meter(self, link, command):
+        self.send(link, verb="METERS", nonce=command["nonce"], readings=[0.2, 0.5, 0.1, 3.0])
+
+    def on_diag(self, link, command):
+        self.send(link, verb="DIAGNOSED", nonce=command["nonce"], outcome="complete")
+
+    def ran(self, body):
+        return [run for run in self.runs if run[2] == body]
+
+
+class Store(Server):
+    """Answers ``STATUS`` or ``STATUS n`` (with X-Not-Run) by the body; ``hang`` and ``break`` do so."""
+
+    def __init__(self):
+        self.calls, self.ended = [], []
+        super().__init__()
+
+    def talk(self, link):
+        file = link.makefile("rb")
+        while file.readline():
+            headers = {}
+            while line := file.readline().strip():
+                name, _, value = line.decode().partition(": ")
+                headers[name] = value
+            body = file.read(int(headers["Content-Length"])).decode()
+            self.calls.append((headers["X-For-Request"], float(headers["X-Wait-Ms"]), body, link))
+            if body == "hang":
+                file.read(1)
+                self.ended.append(headers["X-For-Request"])
+                return
+            if body == "break":
+                return
+            status, _, mark = body.partition(" ")
+            extra = "X-Not-Run: 1\r\n" if mark else ""
+            reply = f"reply {len(self.calls)}"
+            link.sendall(f"HTTP/1.1 {status} Said\r\n{extra}Content-Length: {len(reply)}\r\n\r\n{reply}".encode())
+
+
+class Roster:
+    """Collects the reports."""
+
+    def __init__(self):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.at = "127.0.0.1:{}".format(self.sock.getsockname()[1])
+        self.reports = []
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self):
+        while True:
+            try:
+                self.reports.append((time.monotonic(), self.sock.recv(200).decode()))
+            except OSError:
+                return
+
+    def close(self):
+        self.sock.close()
+
+
+class Gateway:
+    """One connection of a gateway."""
+
+    def __init__(self, at):
+        host, port = at.split(":")
+        self.sock = socket.create_connection((host, int(port)), timeout=WAIT)
+        self.file, self.last, self.answers, self.away = self.sock.makefile("rb"), 0, {}, False
+
+    def send(self, method, **params):
+        self.last += 1
+        self.raw(json.dumps({"jsonrpc": "2.0", "id": self.last, "method": method, "params": params}).encode())
+        return self.last
+
+    def raw(self, line):
+        self.sock.sendall(line + b"\n")
+
+    def request(self, method, body, nonce=None, **over):
+        params = {"trace": f"{random.getrandbits(64):016x}", "born": time.time() * 1000, "client": 1,
+                  "customer": "shop", "patience": 4000, "size": 20.0, "order": 0.5, "doc": b64(body), **over}
+        return self.send(method, **params, **({"nonce": nonce} if nonce else {}))
+
+    def read(self):
+        """Read one message; an answer is kept under its id, and a second one for an id is a failure."""
+        line = self.file.readline()
+        assert line, "the connection was closed"
+        message = json.loads(line)
+        if message.get("method") == "goaway":
+            self.away = True
+        else:
+            assert message["id"] not in self.answers
+            self.answers[message["id"]] = message
+        return message
+
+    def answer(self, number):
+        while number not in self.answers:
+            self.read()
+        return self.answers[number]
+
+    def result(self, number):
+        return base64.b64decode(self.answer(number)["result"]["doc"]).decode()
+
+    def code(self, number):
+        return self.answer(number)["error"]["code"]
+
+
+class Host:
+    """The real program as a process, with stand-ins for its peers."""
+
+    def __init__(self, folder, stop_ms=1500, environ=None, info=None, **peers):
+        self.executor = peers.get("executor") or Executor()
+        self.store = peers.get("store") or Store()
+        self.roster = Roster()
+        self.config = {
+            "name": "n3", "listen": "127.0.0.1:0", "executor": self.executor.at, "roster": self.roster.at,
+            "store": self.store.at, "seed": "8c1f30d27a5be964", "stop_ms": stop_ms,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": info or INFO}
+        path = folder / "config.json"
+        path.write_text(json.dumps(self.config))
+        self.log_path = folder / "log.txt"
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "lapispick.host"], stderr=self.log_path.open("w"),
+            env={**os.environ, "LB_CONFIG": str(path), **(environ or {})})
+        try:
+            self.at = until(lambda: re.search(r"event=started .*listen=(\S+)", self.log()), "the start").group(1)
+            until(lambda: "event=ready" in self.log() or not self.executor.at, "the executor's welcome")
+        except AssertionError:
+            self.close()
+            raise
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def logged(self, event):
+        return until(lambda: f"event={event}" in self.log(), f"log line {event}")
+
+    def gateway(self):
+        return Gateway(self.at)
+
+    def leave(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        for peer in (self.executor, self.store, self.roster):
+            peer.close()
