Test both fronts as a process: gateways, executor, store, roster and a stand-in broker

Seen while testing: a peer that sends without a pause kept its greenlet reading and the others waiting, since a read that succeeds at once never went to the hub (loop.py, Stream._receive); it now gives way after each chunk, shown by the flood from a slow reader. Store, link, drain, key and redelivery cases each have a test; the flood at 110% with two lost acknowledgements counts effects per subject and finds no double.

--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -98,6 +98,12 @@
         """Wait for a span."""
         self.suspend(Waiter(self), seconds)
 
+    def give_way(self) -> None:
+        """Let all others that can go on have their turn first."""
+        waiter = Waiter(self)
+        waiter.wake()
+        self.suspend(waiter)
+
     def suspend(self, waiter: Waiter, timeout: float | None = None) -> Any:
         """Wait until the waiter is woken; None after the timeout."""
         timer = None if timeout is None else self.later(timeout, waiter.wake)
@@ -220,17 +226,21 @@
 
     def _receive(self, timeout: float | None) -> bool:
         """Add what the peer sent to the buffer; False at its end. Raises ``TimeoutError``."""
+        waited = False
         while not self.closed:
             try:
                 data = self.sock.recv(CHUNK)
             except BlockingIOError:
                 if not self.loop.wait(self.sock.fileno(), READ, timeout) and not self.closed:
                     raise TimeoutError("nothing was received in time") from None
+                waited = True
                 continue
             except OSError:
                 self.failed = True
                 return False
             self._in += data
+            if not waited:  # a peer that sends without a pause must not keep the others waiting
+                self.loop.give_way()
             return bool(data)
         return False
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from lapispick import ClassSettings, Controller, Settings
 from lapispick import interface as api
+from tests.standins import Host
 
 
 def make_class(**over):
@@ -72,3 +73,17 @@
 
 def replace(settings, **over):
     return dataclasses.replace(settings, **over)
+
+
+@pytest.fixture
+def host(tmp_path):
+    """Start worker hosts that are ended with the test."""
+    started = []
+
+    def start(**over):
+        started.append(Host(tmp_path, **over))
+        return started[-1]
+
+    yield start
+    for each in started:
+        each.close()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins for all that the worker host talks to, and the worker host itself as a process."""
 
 import base64
+import contextlib
 import json
 import os
 import random
@@ -50,7 +51,7 @@
 
     def __init__(self):
         self.sock = socket.create_server(("127.0.0.1", 0))
-        self.at = "127.0.0.1:{}".format(self.sock.getsockname()[1])
+        self.at = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.lock = threading.RLock()
         self.links = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -75,32 +76,34 @@
     def cut(self):
         """Break all connections."""
         for link in self.links:
-            try:
+            with contextlib.suppress(OSError):
                 link.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
         self.links.clear()
 
     def close(self):
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)  # or the thread that accepts would keep it open
         self.sock.close()
         self.cut()
 
 
 class Executor(Server):
-    """Runs by what the body says: ``hold`` waits for ``end``, ``call:X`` asks for a call, else it ends at once.
+    """Runs by what the body says: ``hold`` waits for ``end``, ``call:X`` asks for a call, others end at once.
 
     With ``work_s``, as many runs as there are cores take that long, and the others wait.
     """
 
-    def __init__(self, work_s=0.0, cores=2):
-        self.runs, self.commands, self.notices, self.link = [], [], [], None
-        self.work_s, self.slots, self.cold = work_s, threading.Semaphore(cores), False
+    def __init__(self, work_s=0.0, cores=2, up=True):
+        self.runs, self.commands, self.notices, self.link, self.up = [], [], [], None, up
+        self.heard = []
+        self.work_s, self.slots = work_s, threading.Semaphore(cores)
         self.deaf = False  # reads commands and does nothing, like a link about to break
         super().__init__()
 
     def talk(self, link):
         for line in link.makefile("rb"):
             command = json.loads(line)
+            self.heard.append(command["verb"])
             with self.lock:
                 if not self.deaf:
                     self.commands.append(command)
@@ -114,17 +117,22 @@
         with self.lock:
             notice["index"] = len(self.notices) + 1
             self.notices.append(notice)
-            try:
+            with contextlib.suppress(OSError):
                 self.send(self.link, **notice)
-            except OSError:
-                pass
 
     def on_join(self, link, command):
         self.link = link
-        self.send(link, verb="WELCOME", outcome="chilly" if self.cold else "hot", spent=1000)
+        if not self.up:
+            return
+        self.send(link, verb="WELCOME", outcome="hot", spent=1000)
         for notice in self.notices[command["index"]:]:
             self.send(link, **notice)
 
+    def come_up(self):
+        with self.lock:
+            self.up = True
+            self.on_join(self.link, {"index": 0})
+
     def on_exec(self, link, command):
         body = base64.b64decode(command["bytes"]).decode()
         self.runs.append((command["task"], command["handler"], body))
@@ -189,7 +197,8 @@
             status, _, mark = body.partition(" ")
             extra = "X-Not-Run: 1\r\n" if mark else ""
             reply = f"reply {len(self.calls)}"
-            link.sendall(f"HTTP/1.1 {status} Said\r\n{extra}Content-Length: {len(reply)}\r\n\r\n{reply}".encode())
+            head = f"HTTP/1.1 {status} Said\r\n{extra}Content-Length: {len(reply)}\r\n\r\n"
+            link.sendall(head.encode() + reply.encode())
 
 
 class Roster:
@@ -198,7 +207,7 @@
     def __init__(self):
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
-        self.at = "127.0.0.1:{}".format(self.sock.getsockname()[1])
+        self.at = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.reports = []
         threading.Thread(target=self._read, daemon=True).start()
 
@@ -261,7 +270,7 @@
 class Host:
     """The real program as a process, with stand-ins for its peers."""
 
-    def __init__(self, folder, stop_ms=1500, environ=None, info=None, **peers):
+    def __init__(self, folder, stop_ms=1500, environ=None, info=None, ready=True, **peers):
         self.executor = peers.get("executor") or Executor()
         self.store = peers.get("store") or Store()
         self.roster = Roster()
@@ -276,8 +285,10 @@
             [sys.executable, "-m", "lapispick.host"], stderr=self.log_path.open("w"),
             env={**os.environ, "LB_CONFIG": str(path), **(environ or {})})
         try:
-            self.at = until(lambda: re.search(r"event=started .*listen=(\S+)", self.log()), "the start").group(1)
-            until(lambda: "event=ready" in self.log() or not self.executor.at, "the executor's welcome")
+            line = until(lambda: re.search(r"event=started .*listen=(\S+)", self.log()), "the start")
+            self.at = line.group(1)
+            if ready:
+                self.logged("ready")
         except AssertionError:
             self.close()
             raise
--- /dev/null
+++ b/tests/test_amqp.py
@@ -0,0 +1,285 @@
+"""The AMQP front: the codec against bytes of the specification, and the whole path as a process."""
+
+import collections
+import struct
+import threading
+import time
+
+import pytest
+
+from lapispick.host.amqp import codec
+from lapispick.host.amqp.codec import Properties
+from tests.broker import LINKS, Broker
+from tests.standins import INFO, Executor, until
+
+ROW = "host,group,amqp_host,amqp_port,amqp_queue,amqp_prefetch,amqp_customer,amqp_heartbeat\n"
+
+
+@pytest.fixture
+def edge(host, tmp_path):
+    """Start a worker host that consumes ``jobs`` from a stand-in broker."""
+
+    def start(prefetch=32, broker=None, heartbeat=10, **over):
+        broker = broker or Broker()
+        name, port = broker.at.split(":")
+        (tmp_path / "shops.csv").write_text(
+            f"{ROW}a,shops,{name},{port},jobs,{prefetch},shop,{heartbeat}\nb,others,,,,,,\n")
+        (tmp_path / "amqp.toml").write_text('enabled = true\ninventory = "shops.csv"\ngroup = "shops"\n')
+        h = host(environ={"LAPISPICK_AMQP": str(tmp_path / "amqp.toml")}, **over)
+        h.broker = broker
+        brokers.append(broker)
+        h.logged("consuming")
+        return h
+
+    brokers = []
+    yield start
+    for each in brokers:
+        each.close()
+
+
+def ask(broker, body, cls="track", correlation=None, reply_to="answers", **over):
+    """Put a request; return the message and its correlation id."""
+    correlation = correlation or f"c{len(broker.messages)}"
+    properties = {"type": cls, "correlation_id": correlation, "reply_to": reply_to, "expiration": "4000",
+                  "message_id": f"m-{correlation}", **over}
+    return broker.put("jobs", body, **properties), correlation
+
+
+def test_the_codec_writes_the_bytes_of_the_specification():
+    assert codec.encode_frame(codec.HEARTBEAT, 0, b"") == bytes.fromhex("08 0000 00000000 ce")
+    assert codec.encode_method(1, "basic.ack", delivery=2, multiple=True) == bytes.fromhex(
+        "01 0001 0000000d 003c 0050 0000000000000002 01 ce")
+    assert codec.encode_method(1, "basic.consume", queue="q", tag="t", no_local=False, no_ack=True,
+                               exclusive=False, nowait=True, arguments={}) == bytes.fromhex(
+        "01 0001 0000000f 003c 0014 0000 01 71 01 74 0a 00000000 ce")
+    assert codec.encode_header(1, 3, Properties(content_type="a", message_id="m")) == bytes.fromhex(
+        "02 0001 00000012 003c 0000 0000000000000003 8080 01 61 01 6d ce")
+
+
+def test_methods_properties_and_tables_come_back_as_written():
+    table = {"t": True, "n": -5, "f": 1.5, "s": "é", "in": {"x": 1}}
+    every = Properties("a", "b", table, 2, 3, "c", "d", "9", "e", 1764576000, "f", "g", "h", "i")
+    frame = codec.encode_header(7, 99, every)
+    assert codec.decode_properties(frame[7:-1]) == every and codec.decode_size(frame[7:-1]) == 99
+    for name in codec.IDS:
+        args = {key: {"s": "text", "S": b"long", "F": table, "t": True}.get(code, 3)
+                for key, code in codec.SPECS[name] if not key.startswith("*")}
+        method = codec.decode_method(codec.encode_method(1, name, **args)[7:-1])
+        assert method.name == name and method.args.items() >= args.items()
+    kinds = b"\x01xb\xff" b"\x01yA\x00\x00\x00\x04t\x01t\x00" b"\x01zV" b"\x01dD\x02\x00\x00\x01\x00"
+    assert codec.Reader(struct.pack(">I", len(kinds)) + kinds).table() == {
+        "x": -1, "y": [True, False], "z": None, "d": 2.56}
+
+
+@pytest.mark.parametrize("payload", [
+    b"", b"\x00", b"\x00\x63\x00\x01", b"\x00\x3c\x00\x3c\xff", b"\x00\x3c\x00\x3c\x02\xff\xfe",
+    b"\x00\x0a\x00\x0a\x00\x09\xff\xff\xff\xff"])
+def test_malformed_methods_are_codec_errors(payload):
+    with pytest.raises(codec.CodecError):
+        codec.decode_method(payload)
+
+
+def test_a_message_is_served_and_the_reply_precedes_the_acknowledgement(edge):
+    h = edge()
+    message, c = ask(h.broker, "hello", headers={"size": 12.5})
+    outcome, body, headers = until(lambda: h.broker.reply(c), "the reply")
+    assert (outcome, body, headers["outcome"]) == ("served", "did hello", "served")
+    assert headers["advice"] >= 0 and h.broker.replies[0][0] == "answers"
+    until(lambda: message.fate == "ack", "the acknowledgement")
+    assert h.broker.methods.index("basic.publish") < h.broker.methods.index("basic.ack")
+    assert h.executor.runs[0][1:] == ("track", "hello")
+
+
+def test_long_results_are_cut_into_frames(edge):
+    h = edge()
+    _, c = ask(h.broker, "hold", cls="book")
+    until(lambda: h.executor.runs, "the run")
+    h.executor.end(h.executor.runs[0][0], result="r" * 10_000)
+    assert until(lambda: h.broker.reply(c), "the reply")[1] == "r" * 10_000
+
+
+def test_deadlines_and_errors_are_mapped(edge):
+    h = edge()
+    _, late = ask(h.broker, "hold", expiration="500")
+    _, old = ask(h.broker, "past", timestamp=int(time.time()) - 9)
+    _, past = ask(h.broker, "past", headers={"timestamp_in_ms": int(time.time() * 1000) - 4500})
+    _, bad = ask(h.broker, "error", cls="book")
+    assert until(lambda: h.broker.reply(late), "the late one's reply")[0] == "failed"
+    for c in (past, old):
+        outcome, _, headers = until(lambda c=c: h.broker.reply(c), "the refusal")
+        assert outcome == "refused" and headers["pause"] > 0
+    assert until(lambda: h.broker.reply(bad), "the failure")[0] == "failed"
+    assert not h.executor.ran("past")
+
+
+def test_without_reply_to_the_settlement_is_the_answer(edge):
+    h = edge()
+    served, _ = ask(h.broker, "fine", reply_to=None)
+    failed, _ = ask(h.broker, "error", cls="book", reply_to=None)
+    until(lambda: (served.fate, failed.fate) == ("ack", "reject"), "both settlements")
+    assert not h.broker.replies
+
+
+def test_a_lost_acknowledgement_is_answered_from_the_kept_result(edge):
+    h = edge()
+    h.broker.lose = "basic.ack"
+    message, c = ask(h.broker, "booking", cls="book")
+    until(lambda: message.fate == "ack", "the acknowledgement of the redelivery")
+    assert message.given == 2 and len(h.executor.ran("booking")) == 1
+    assert [r[2] for r in h.broker.replies if r[1].correlation_id == c] == ["did booking"] * 2
+
+
+def test_a_redelivery_while_it_runs_waits_for_that_run(edge):
+    h = edge()
+    message, c = ask(h.broker, "hold", cls="book")
+    until(lambda: h.executor.runs, "the run")
+    h.broker.cut()
+    until(lambda: message.given == 2, "the redelivery")
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert until(lambda: h.broker.reply(c), "the reply")[:2] == ("served", "booked")
+    until(lambda: message.fate == "ack", "the acknowledgement")
+    assert len(h.executor.runs) == 1
+
+
+def test_a_redelivered_write_of_another_life_is_failed_and_a_read_runs(edge):
+    h = edge()
+    write, c = ask(h.broker, "elsewhere", cls="book", redelivered=True)
+    _, read = ask(h.broker, "again", redelivered=True)
+    assert until(lambda: h.broker.reply(read), "the read")[0] == "served"
+    assert until(lambda: h.broker.reply(c), "the write's reply")[0] == "failed"
+    until(lambda: write.fate == "ack", "the acknowledgement")
+    assert not h.executor.ran("elsewhere")
+
+
+def test_a_write_without_message_id_never_runs(edge):
+    h = edge()
+    silent, _ = ask(h.broker, "nokey", cls="book", message_id=None, reply_to=None)
+    _, c = ask(h.broker, "nokey", cls="book", message_id=None)
+    until(lambda: silent.fate == "reject", "the rejection")
+    assert until(lambda: h.broker.reply(c), "the reply")[0] == "failed"
+    assert not h.executor.runs
+
+
+@pytest.mark.parametrize("over", [
+    {"cls": "nothing"}, {"headers": {"customer": "nobody"}}, {"expiration": "soon"},
+    {"headers": {"size": -1}}, {"headers": {"size": True}}, {"body": "x" * 5000}])
+def test_a_malformed_message_costs_itself_only(edge, over):
+    h = edge()
+    bad, _ = ask(h.broker, over.pop("body", "bad"), reply_to=None, **over)
+    _, c = ask(h.broker, "good")
+    assert until(lambda: h.broker.reply(c), "the next one")[0] == "served"
+    until(lambda: bad.fate == "reject", "the rejection")
+    assert len(h.executor.runs) == 1
+
+
+@pytest.mark.parametrize("raw", [
+    lambda n: codec.encode_frame(codec.BODY, n, b"early"),
+    lambda n: codec.encode_frame(codec.HEADER, n, b"\x00"),
+    lambda n: codec.encode_frame(codec.HEADER, 9000, b"\x00" * 14),
+    lambda n: codec.encode_frame(codec.METHOD, n, b"\xff\xff\xff\xff"),
+    lambda n: codec.encode_frame(codec.HEARTBEAT, 0, b"")[:-1] + b"\x00",
+    lambda n: codec.FRAME_HEAD.pack(codec.METHOD, n, 1 << 31),
+    lambda n: b"\x77" * 50])
+def test_malformed_frames_cost_the_connection_and_a_new_one_follows(edge, raw):
+    h = edge()
+    h.broker.put("jobs", "broken", raw=raw)
+    until(lambda: "event=connection-closed" in h.log() or "event=connection-lost" in h.log(), "the end of it")
+    _, c = ask(h.broker, "good")
+    assert until(lambda: h.broker.reply(c), "service on a new connection")[0] == "served"
+    assert h.broker.methods.count("connection.open") == 2
+
+
+def test_malformed_properties_cost_the_message_only(edge):
+    h = edge()
+    bad = h.broker.put("jobs", "x", raw=lambda n: codec.encode_frame(
+        codec.HEADER, n, struct.pack(">HHQH", 60, 0, 1, 0x2000) + b"\x00\x00\xff\xff")
+        + codec.encode_frame(codec.BODY, n, b"x"))
+    _, c = ask(h.broker, "good")
+    assert until(lambda: h.broker.reply(c), "the next one")[0] == "served"
+    assert bad.fate == "reject" and bad.given == 1
+
+
+def test_a_channel_error_opens_a_new_channel(edge):
+    h = edge()
+    with h.broker.lock:
+        link = next(k for k in h.broker.links if k in LINKS)
+        LINKS[link].clear()
+        h.broker.say(link, 1, "channel.close", code=404, text="NOT_FOUND", class_id=60, method_id=20)
+    _, c = ask(h.broker, "good")
+    assert until(lambda: h.broker.reply(c), "service on the new channel")[0] == "served"
+    assert "event=channel-closed" in h.log()
+
+
+def test_refused_confirms_are_tried_again_and_lost_replies_settle(edge):
+    h = edge()
+    h.broker.nacks = 2
+    message, c = ask(h.broker, "stubborn")
+    assert until(lambda: h.broker.reply(c), "the third try")[0] == "served"
+    until(lambda: message.fate == "ack", "the acknowledgement")
+    h.broker.unroutable = True
+    served, _ = ask(h.broker, "nobody asks")
+    failed, _ = ask(h.broker, "error", cls="book")
+    until(lambda: (served.fate, failed.fate) == ("ack", "reject"), "both settlements")
+
+
+def test_heartbeats_go_out_and_silence_ends_the_connection(edge):
+    h = edge(broker=Broker(heartbeat=1), heartbeat=1)
+    until(lambda: h.broker.beats >= 2, "two heartbeats")
+    until(lambda: h.broker.methods.count("connection.open") >= 2, "a new connection after the silence")
+
+
+def test_prefetch_bounds_what_is_held(edge):
+    h = edge(prefetch=3)
+    for _ in range(10):
+        ask(h.broker, "hold")
+    until(lambda: len(h.executor.runs) >= 2, "the runs")
+    assert h.broker.most_held == 3
+
+
+def test_the_drain_cancels_and_answers_what_was_taken(edge):
+    h = edge(stop_ms=2500)
+    taken, c = ask(h.broker, "hold", cls="book")
+    until(lambda: h.executor.runs, "the run")
+    began = time.monotonic()
+    h.leave()
+    until(lambda: h.broker.cancelled == 1, "the cancel")
+    left, _ = ask(h.broker, "left", cls="book")
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert until(lambda: h.broker.reply(c), "the reply")[:2] == ("served", "booked")
+    assert h.process.wait(5) == 0 and time.monotonic() - began < 2.5
+    assert (taken.fate, left.fate, left.given, h.broker.closed) == ("ack", None, 0, 1)
+    assert not h.executor.ran("left")
+
+
+def test_a_flood_over_capacity_with_lost_acks_has_no_double_effect(edge):
+    work_s, cores, seconds = 0.02, 2, 3.0
+    info = {**INFO, "FamilyInfo": {**INFO["FamilyInfo"], "CallsOut": 50.0}}
+    h = edge(prefetch=60, executor=Executor(work_s, cores), info=info)
+    gap = work_s / cores / 1.1  # 110% of what the cores can do
+    asked = {}
+
+    def flood():
+        for i in range(int(seconds / gap)):
+            cls = "book" if i % 3 == 0 else "track"
+            asked[f"subject-{i}"] = (cls, *ask(h.broker, f"subject-{i}", cls, correlation=f"s{i}"))
+            time.sleep(gap)
+
+    thread = threading.Thread(target=flood)
+    thread.start()
+    for share in (0.3, 0.6):  # two acknowledgements are lost, with all that is unacknowledged redelivered
+        until(lambda share=share: len(asked) >= share * seconds / gap, "part of the flood")
+        h.broker.lose = "basic.ack"
+    thread.join()
+    until(lambda: all(m.fate for _, m, _ in asked.values()), "an end of every message")
+    effects = collections.Counter(body for _, handler, body in h.executor.runs if handler == "book")
+    assert max(effects.values()) == 1 and h.broker.methods.count("connection.open") >= 3
+    outcomes = collections.Counter()
+    for subject, (cls, _, c) in asked.items():
+        answers = [r for r in h.broker.replies if r[1].correlation_id == c]
+        assert answers, subject
+        outcomes[answers[-1][1].type] += 1
+        for _, p, body in answers:
+            assert p.type != "served" or body == f"did {subject}"
+            # What is turned away has never run, not even for the sake of another copy.
+            assert cls != "book" or p.type != "refused" or not effects[subject]
+    assert outcomes["served"] > 0.5 * len(asked)
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,289 @@
+"""The worker host as a process, spoken to as gateways, the executor, the store and the roster would."""
+
+import itertools
+import json
+import socket
+import time
+import uuid
+
+import pytest
+
+from tests.standins import INFO, Executor, b64, until
+
+REFUSED = -32050
+
+
+def nonce():
+    return uuid.uuid4().hex
+
+
+def test_a_request_is_served_with_the_executors_bytes_and_advice(host):
+    h = host()
+    g = h.gateway()
+    body = "x/y+?" * 50
+    n = g.request("track", body)
+    assert g.result(n) == f"did {body}" and g.answer(n)["result"]["advice"] >= 0
+    assert h.executor.runs[0][1:] == ("track", body)
+    probe = g.send("probe", thorough=True)
+    assert g.answer(probe)["result"]["healthy"] is True and "advice" in g.answer(probe)["result"]
+
+
+@pytest.mark.parametrize("call,served", [
+    ("200", "reply 1"), ("503 n", "poorer"), ("500", "poorer"), ("break", "poorer"), ("409 n", "poorer")])
+def test_calls_go_to_the_store_and_back_or_are_left_out(host, call, served):
+    h = host()
+    g = h.gateway()
+    assert g.result(g.request("track", f"call:{call}")) == served
+    tag, wait, body, _ = h.store.calls[0]
+    assert tag == h.executor.runs[0][0] and wait > 0 and body == call
+
+
+def test_a_write_repeats_a_call_only_after_proof_that_it_never_ran(host):
+    h = host()
+    g = h.gateway()
+    turned_away, unsure = g.request("book", "call:503 n", nonce()), g.request("book", "call:500", nonce())
+    assert g.answer(turned_away)["error"]["code"] != REFUSED  # it ran, so it is failed and not turned away
+    assert g.answer(unsure)["error"]["code"] != REFUSED
+    assert sum(c[2] == "503 n" for c in h.store.calls) > 1
+    assert sum(c[2] == "500" for c in h.store.calls) == 1
+
+
+def test_a_store_that_refuses_connections_proves_that_nothing_ran(host):
+    h = host()
+    h.store.close()
+    g = h.gateway()
+    assert g.result(g.request("track", "call:200")) == "poorer"
+    assert "event=connect-failed" in h.log()
+
+
+def test_store_connections_are_used_again_but_never_stale_ones(host):
+    h = host()
+    g = h.gateway()
+    for _ in range(2):
+        g.result(g.request("track", "call:200"))
+    assert h.store.calls[0][3] is h.store.calls[1][3]
+    h.store.cut()  # closes the connection that was kept
+    assert g.result(g.request("track", "call:200")).startswith("reply")
+
+
+def test_an_ended_request_closes_its_call(host):
+    h = host()
+    g = h.gateway()
+    n = g.request("track", "call:hang", trace="00000000000000aa")
+    until(lambda: h.store.calls, "the call")
+    g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": n}}).encode())
+    until(lambda: h.store.ended == ["00000000000000aa"], "the end of the call")
+
+
+def test_a_keyed_request_runs_once_and_repeats_get_the_kept_result(host):
+    h = host()
+    g, key = h.gateway(), nonce()
+    first = g.request("book", "hold", key)
+    until(lambda: h.executor.runs, "the run")
+    while_it_runs = g.request("book", "hold", key, redo=1)
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert [g.result(n) for n in (first, while_it_runs)] == ["booked"] * 2
+    other = h.gateway()
+    assert other.result(other.request("book", "hold", key, redo=1)) == "booked"
+    assert len(h.executor.runs) == 1
+
+
+def test_two_tries_written_at_once_see_each_other(host):
+    h = host()
+    g, key = h.gateway(), nonce()
+    lines = []
+    g.raw, raw = lines.append, g.raw
+    numbers = [g.request("book", "once", key, redo=i) for i in (0, 1, 1)]
+    raw(b"\n".join(lines))
+    answers = [g.answer(n) for n in numbers]
+    assert len(h.executor.ran("once")) == 1
+    assert all(a.get("result") or a["error"]["code"] == REFUSED for a in answers)
+    assert any("result" in a for a in answers)
+
+
+def test_a_repeat_counts_by_its_own_time_however_late_it_is_read(host):
+    h = host()
+    g, key = h.gateway(), nonce()
+    born = time.time() * 1000
+    assert g.result(g.request("book", "late", key, born=born)) == "did late"
+    window = INFO["Services"][1]["Window"]
+    until(lambda: time.time() * 1000 > born + window + 1500, "the end of the window")
+    # It came within the window, though it is read after it: never a second run.
+    within = g.request("book", "late", key, born=born + window - 100, patience=9000, redo=1)
+    assert g.result(within) == "did late" and len(h.executor.runs) == 1
+    after = g.request("book", "late", key, redo=1)
+    assert g.result(after) == "did late" and len(h.executor.runs) == 2
+
+
+def test_a_failed_write_is_failed_and_its_repeats_too(host):
+    h = host()
+    g, key = h.gateway(), nonce()
+    assert g.code(g.request("book", "error", key)) != REFUSED
+    assert g.code(g.request("book", "error", key, redo=1)) != REFUSED
+    assert len(h.executor.runs) == 1
+
+
+def test_what_is_given_up_on_is_answered_at_once_with_a_time_to_come_back(host):
+    h = host()
+    g = h.gateway()
+    began = time.monotonic()
+    n = g.request("track", "late", born=time.time() * 1000 - 4500, patience=4520)
+    data = g.answer(n)["error"]["data"]
+    assert g.code(n) == REFUSED and data["pause"] > 0 and data["terminal"] == 1 and "advice" in data
+    assert time.monotonic() - began < 1 and not h.executor.runs
+
+
+def test_running_work_is_failed_by_its_due_time_and_stopped(host):
+    h = host()
+    g = h.gateway()
+    born = time.time() * 1000
+    n = g.request("track", "hold", born=born, patience=600)
+    assert g.code(n) != REFUSED and time.time() * 1000 <= born + 660
+    until(lambda: any(c["verb"] == "KILL" for c in h.executor.commands), "the stop")
+
+
+@pytest.mark.parametrize("line", [
+    b"\xff\xfe{", b"[]", b'{"method":7,"id":1}', b'{"id":1,"method":"nothing"}', b'{"id":1,"method":"track"}',
+    b'{"id":1,"method":"track","params":{"trace":"a","born":1,"size":"x"}}',
+    b'{"id":1,"method":"book","params":{"trace":"a","born":1,"size":2,"doc":""}}',
+    b'{"id":1,"method":"track","params":{"trace":"a","born":1,"size":2,"doc":"*"}}',
+    b'{"id":99999999999999999999999,"method":"track"}', b"{" * 5000, b"x" * 100_000])
+def test_malformed_input_costs_a_request_or_a_connection_only(host, line):
+    h = host()
+    bad, good = h.gateway(), h.gateway()
+    bad.raw(line)
+    assert good.result(good.request("track", "fine")) == "did fine"
+    until(lambda: "level=warning" in h.log() or "error" in bad.read(), "an answer or a log line")
+    assert len(h.executor.runs) == 1 and h.process.poll() is None
+
+
+def test_an_id_that_was_used_gets_no_second_answer(host):
+    h = host()
+    g = h.gateway()
+    assert g.result(g.request("track", "one")) == "did one"
+    g.last = 0
+    g.request("track", "two")
+    assert g.result(g.request("track", "three")) == "did three"
+    assert "event=id-unusable" in h.log() and not h.executor.ran("two")
+
+
+def test_too_many_connections_leave_room_for_those_in_use(host):
+    h = host()
+    name, port = h.at.split(":")
+    crowd = [socket.create_connection((name, int(port))) for _ in range(256 * 5 // 8 + 20)]
+    g = h.gateway()
+    assert g.result(g.request("track", "still")) == "did still"
+    for each in crowd:
+        each.close()
+
+
+def test_a_flood_from_a_slow_reader_ends_its_connection_and_stops_nobody(host):
+    h = host()
+    slow, g = h.gateway(), h.gateway()
+    slow.sock.setblocking(False)
+    flood, sent = b'{"jsonrpc":"2.0","id":1,"method":"probe"}\n' * 2000, 0
+    while "event=slow-reader-dropped" not in h.log():
+        try:
+            sent += slow.sock.send(flood[sent % len(flood):])
+        except BlockingIOError:
+            began = time.monotonic()
+            assert g.result(g.request("track", "between")) == "did between"
+            assert time.monotonic() - began < 2
+        except OSError:
+            break
+    h.logged("slow-reader-dropped")
+    assert g.result(g.request("track", "after")) == "did after"
+
+
+def test_the_executor_may_come_late_and_probes_are_sick_until_then(host):
+    late = Executor(up=False)
+    h = host(executor=late, ready=False)
+    g = h.gateway()
+    assert g.answer(g.send("probe"))["result"]["healthy"] is False
+    assert g.code(g.request("track", "early")) == REFUSED
+    until(lambda: late.commands, "the first message")
+    late.come_up()
+    h.logged("ready")
+    assert g.answer(g.send("probe"))["result"]["healthy"] is True
+    assert g.result(g.request("track", "now")) == "did now"
+
+
+def test_a_lost_link_loses_no_run_and_starts_no_write_twice(host):
+    h = host()
+    g = h.gateway()
+    kept, ended = g.request("track", "hold"), g.request("book", "hold", nonce())
+    until(lambda: len(h.executor.runs) == 2, "both runs")
+    with h.executor.lock:
+        h.executor.cut()
+        by_class = {handler: task for task, handler, _ in h.executor.runs}
+        h.executor.end(by_class["book"], result="booked")  # while there is no link
+    assert g.result(ended) == "booked"
+    h.executor.end(by_class["track"], result="tracked")
+    assert g.result(kept) == "tracked"
+    assert sum(c["verb"] == "EXEC" and c["task"] == by_class["book"] for c in h.executor.commands) == 1
+    assert next(c["index"] for c in h.executor.commands if c["verb"] == "JOIN") == 0
+
+
+def test_a_start_that_went_with_a_link_is_sent_again_for_reads_only(host):
+    h = host()
+    g = h.gateway()
+    h.executor.deaf = True
+    read, write = g.request("track", "again"), g.request("book", "never", nonce(), patience=1500)
+    until(lambda: h.executor.heard.count("EXEC") == 2, "both were written")
+    h.executor.deaf = False
+    h.executor.cut()
+    assert g.result(read) == "did again"
+    assert g.code(write) != REFUSED  # it may have run: failed, not turned away
+    assert not h.executor.ran("never")
+
+
+def test_the_roster_hears_on_each_second_and_off_at_the_notice(host):
+    h = host()
+    until(lambda: len(h.roster.reports) >= 3, "three reports")
+    times = [t for t, word in h.roster.reports if word == "HERE n3 on"]
+    assert len(times) >= 3 and max(b - a for a, b in itertools.pairwise(times)) < 1.5
+    h.leave()
+    until(lambda: h.roster.reports[-1][1] == "HERE n3 off", "off")
+
+
+def test_the_drain_answers_all_and_ends_in_time(host):
+    h = host(stop_ms=3000)
+    g = h.gateway()
+    running, done = g.request("track", "hold", patience=9000), g.request("book", "hold", nonce())
+    until(lambda: len(h.executor.runs) == 2, "both runs")
+    began = time.monotonic()
+    h.leave()
+    until(lambda: g.read() and g.away, "goaway")
+    fresh = h.gateway()
+    assert fresh.read()["method"] == "goaway"
+    probe = fresh.send("probe")
+    assert fresh.answer(probe)["result"]["healthy"] is False
+    h.executor.end(next(t for t, c, _ in h.executor.runs if c == "book"), result="booked")
+    assert g.result(done) == "booked"
+    until(lambda: time.monotonic() - began > 1.9, "the end of the grace")
+    late = fresh.request("track", "late")
+    assert fresh.code(late) == REFUSED and not h.executor.ran("late")
+    assert g.code(running) != REFUSED
+    assert h.process.wait(5) == 0 and time.monotonic() - began < 3
+
+
+@pytest.mark.parametrize("change,key", [
+    ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"stop_ms": "soon"}, "stop_ms"),
+    ({"limits": {"sockets": 3}}, "limits.sockets"), 
+    ({"settings": {**INFO, "Services": []}}, "settings.Services"),
+    ({"settings": {k: v for k, v in INFO.items() if k != "Layer"}}, "settings.Layer")])
+def test_a_faulty_configuration_names_its_key(change, key):
+    from lapispick.host import config
+
+    base = {"name": "n3", "listen": "127.0.0.1:1", "executor": "127.0.0.1:2", "roster": "127.0.0.1:3",
+            "store": "127.0.0.1:4", "seed": "8c", "stop_ms": 3200, "settings": INFO}
+    assert config.parse(json.dumps(base).encode()).limits.sockets == 1024
+    with pytest.raises(config.ConfigError, match=f"^{key}"):
+        config.parse(json.dumps({**base, **change}).encode())
+
+
+def test_base64_bodies_pass_unchanged(host):
+    h = host()
+    g = h.gateway()
+    n = g.request("track", "plain")
+    assert g.answer(n)["result"]["doc"] == b64("did plain")
