Sharpen the network tests: each guard was taken out and the test had to fail

Seen: sixteen guards were taken out one at a time; five tests passed without theirs (notices seen twice, the turn of a peer that never pauses, the call of an ended write, a message that crosses the cancel, the slot of a lost start). Each now has a test that fails without it; the other eleven did already.

--- a/tests/broker.py
+++ b/tests/broker.py
@@ -22,6 +22,7 @@
     def __init__(self, heartbeat=10):
         self.queues, self.replies, self.messages = {}, [], []
         self.lose, self.nacks, self.unroutable, self.most_held = None, 0, False, 0
+        self.crossing = None
         self.cancelled, self.closed, self.methods, self.heartbeat, self.beats = 0, 0, [], heartbeat, 0
         super().__init__()
 
@@ -126,6 +127,8 @@
 
     def on_basic_cancel(self, link, channel, state, args):
         self.cancelled += 1
+        if self.crossing:  # a message that is on its way while the consumer cancels
+            self.put(state[channel]["queue"], "crossing", **self.crossing)
         state[channel]["tag"] = None
         self.say(link, channel, "basic.cancel-ok", tag=args["tag"])
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -90,6 +90,8 @@
 class Executor(Server):
     """Runs by what the body says: ``hold`` waits for ``end``, ``call:X`` asks for a call, others end at once.
 
+    ``stay:X`` asks for a call and then waits for ``end``.
+
     With ``work_s``, as many runs as there are cores take that long, and the others wait.
     """
 
@@ -97,6 +99,7 @@
         self.runs, self.commands, self.notices, self.link, self.up = [], [], [], None, up
         self.heard = []
         self.work_s, self.slots = work_s, threading.Semaphore(cores)
+        self.forgetful = False  # sends all notices again on a new link
         self.deaf = False  # reads commands and does nothing, like a link about to break
         super().__init__()
 
@@ -125,7 +128,7 @@
         if not self.up:
             return
         self.send(link, verb="WELCOME", outcome="hot", spent=1000)
-        for notice in self.notices[command["index"]:]:
+        for notice in self.notices[0 if self.forgetful else command["index"]:]:
             self.send(link, **notice)
 
     def come_up(self):
@@ -136,7 +139,7 @@
     def on_exec(self, link, command):
         body = base64.b64decode(command["bytes"]).decode()
         self.runs.append((command["task"], command["handler"], body))
-        if body.startswith("call:"):
+        if body.startswith("call:") or body.startswith("stay:"):
             self.tell(verb="CALLOUT", task=command["task"], bytes=b64(body[5:]))
         elif body == "error":
             self.end(command["task"], outcome="error", result="")
@@ -157,7 +160,8 @@
         self.end(command["task"], outcome="cancelled", result="")
 
     def on_return(self, link, command):
-        self.end(command["task"], result=base64.b64decode(command["bytes"]))
+        if not self.ran_as(command["task"]).startswith("stay:"):
+            self.end(command["task"], result=base64.b64decode(command["bytes"]))
 
     def on_bypass(self, link, command):
         self.end(command["task"], result="poorer")
@@ -168,6 +172,9 @@
     def on_diag(self, link, command):
         self.send(link, verb="DIAGNOSED", nonce=command["nonce"], outcome="complete")
 
+    def ran_as(self, task):
+        return next(body for name, _, body in self.runs if name == task)
+
     def ran(self, body):
         return [run for run in self.runs if run[2] == body]
 
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -241,6 +241,7 @@
     taken, c = ask(h.broker, "hold", cls="book")
     until(lambda: h.executor.runs, "the run")
     began = time.monotonic()
+    h.broker.crossing = {"type": "book", "message_id": "x"}
     h.leave()
     until(lambda: h.broker.cancelled == 1, "the cancel")
     left, _ = ask(h.broker, "left", cls="book")
@@ -248,7 +249,9 @@
     assert until(lambda: h.broker.reply(c), "the reply")[:2] == ("served", "booked")
     assert h.process.wait(5) == 0 and time.monotonic() - began < 2.5
     assert (taken.fate, left.fate, left.given, h.broker.closed) == ("ack", None, 0, 1)
-    assert not h.executor.ran("left")
+    crossed = next(m for m in h.broker.messages if m.body == b"crossing")
+    assert (crossed.given, crossed.fate) == (1, "requeue")  # not taken: another box may have it
+    assert not h.executor.ran("left") and not h.executor.ran("crossing")
 
 
 def test_a_flood_over_capacity_with_lost_acks_has_no_double_effect(edge):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import socket
+import threading
 import time
 import uuid
 
@@ -67,13 +68,16 @@
     assert g.result(g.request("track", "call:200")).startswith("reply")
 
 
-def test_an_ended_request_closes_its_call(host):
+@pytest.mark.parametrize("cls", ["track", "book"])
+def test_an_ended_request_closes_its_call(host, cls):
     h = host()
     g = h.gateway()
-    n = g.request("track", "call:hang", trace="00000000000000aa")
+    n = g.request(cls, "call:hang", nonce(), trace="00000000000000aa")
     until(lambda: h.store.calls, "the call")
     g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": n}}).encode())
+    began = time.monotonic()
     until(lambda: h.store.ended == ["00000000000000aa"], "the end of the call")
+    assert time.monotonic() - began < 1.5  # long before its own time is over
 
 
 def test_a_keyed_request_runs_once_and_repeats_get_the_kept_result(host):
@@ -158,6 +162,27 @@
     assert len(h.executor.runs) == 1 and h.process.poll() is None
 
 
+def test_a_peer_that_never_pauses_does_not_keep_others_waiting(host):
+    h = host()
+    loud, g, stop = h.gateway(), h.gateway(), threading.Event()
+
+    def flood():
+        lines = b'{"jsonrpc":"2.0","method":"giveUp","params":{"id":1}}\n' * 5000
+        while not stop.is_set():
+            loud.sock.sendall(lines)
+
+    thread = threading.Thread(target=flood)
+    thread.start()
+    try:
+        for _ in range(5):
+            began = time.monotonic()
+            assert g.result(g.request("track", "quick")) == "did quick"
+            assert time.monotonic() - began < 2
+    finally:
+        stop.set()
+        thread.join()
+
+
 def test_a_flood_of_malformed_messages_ends_its_connection(host):
     h = host()
     bad, good = h.gateway(), h.gateway()
@@ -249,6 +274,30 @@
     assert not h.executor.ran("never")
 
 
+def test_a_start_that_was_lost_takes_no_slot_for_good(host):
+    h = host()
+    g = h.gateway()
+    h.executor.deaf = True
+    lost = [g.request("book", "never", nonce(), patience=2500) for _ in range(8)]  # as many as may ever run
+    until(lambda: h.executor.heard.count("EXEC") == 8, "all were written")
+    h.executor.deaf = False
+    h.executor.cut()
+    assert all(g.code(n) != REFUSED for n in lost)
+    assert g.result(g.request("track", "next")) == "did next"
+
+
+def test_notices_that_were_seen_are_ignored(host):
+    h = host()
+    g = h.gateway()
+    n = g.request("track", "stay:200")
+    until(lambda: "RETURN" in h.executor.heard, "the reply to the call")
+    h.executor.forgetful = True
+    h.executor.cut()
+    until(lambda: h.executor.heard.count("RETURN") == 2, "the reply once more, behind the old notices")
+    h.executor.end(h.executor.runs[0][0], result="done")
+    assert g.result(n) == "done" and len(h.store.calls) == 1
+
+
 def test_the_roster_hears_on_each_second_and_off_at_the_notice(host):
     h = host()
     until(lambda: len(h.roster.reports) >= 3, "three reports")
