Keep a fault in a timer or a name that must be looked up from stopping the loop

Found by reading: a call from the hub (timer, reopening of a channel) that raised would have ended the process (loop.py, Loop.run called it bare); it is logged now. A broker's name was looked up at each connection, in the one thread; it is looked up once at the start, and the platform's addresses must be IP. Deep checks that went with a link are answered as bad.

--- a/lapispick/host/config.py
+++ b/lapispick/host/config.py
@@ -4,6 +4,7 @@
 
 import os
 import re
+import socket
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -257,6 +258,13 @@
         if variable not in environ:
             raise host.vars["amqp_password_env"].fault("amqp_password_env", f"{variable} is not set")
         password = environ[variable]
+    try:
+        # Once, at the start: a name looked up at each connection would stop the loop meanwhile.
+        name = socket.getaddrinfo(name, told["amqp_port"], type=socket.SOCK_STREAM)[0][4][0]
+    except (OSError, UnicodeError) as err:
+        key = next((k for k in ("amqp_host", "ansible_host") if k in host.vars), "host")
+        var = host.vars.get(key, Var(name, host.where))
+        raise var.fault(key, f"{name!r} has no address: {err}") from None
     return Broker((name, told["amqp_port"]), told["amqp_vhost"], told["amqp_user"], password,
                   told["amqp_heartbeat"])
 
--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -55,6 +55,7 @@
         self._open: dict[str, Open] = {}
         self._index = 0
         self._checks = 0
+        self._asked: set[str] = set()  # deep checks without an answer so far
         self._encode = msgspec.json.Encoder().encode
         self._decode = msgspec.json.Decoder(Notice).decode
         self._takers: dict[str, Callable[[Notice], None]] = {
@@ -89,12 +90,19 @@
         """Ask for a deep health check; return the word that its answer will carry."""
         self._checks += 1
         nonce = f"check-{self._checks}"
+        self._asked.add(nonce)
         if self._stream is not None:
             self._send(self._stream, {"verb": "DIAG", "nonce": nonce})
         else:
-            self._post(core.Diagnosed(nonce, False))
+            self._lose_checks()
         return nonce
 
+    def _lose_checks(self) -> None:
+        """Fail the checks that went with a link: their answers are not sent again."""
+        asked, self._asked = self._asked, set()
+        for nonce in asked:
+            self._post(core.Diagnosed(nonce, False))
+
     def _order(self, tag: str, command: dict[str, Any]) -> None:
         if (task := self._open.get(tag)) is None:
             return
@@ -122,6 +130,7 @@
                 log(LOG, logging.WARNING, "link-failed", error=err)
             finally:
                 self._stream = None
+                self._lose_checks()
                 if stream is not None:
                     stream.close()
             self._loop.sleep(pause)
@@ -182,6 +191,7 @@
         self._post(core.Metered(notice.readings))
 
     def _diagnosed(self, notice: Notice) -> None:
+        self._asked.discard(notice.nonce)
         self._post(core.Diagnosed(notice.nonce, notice.outcome == "complete"))
 
     def _bad(self, notice: Notice) -> None:
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
+from ipaddress import ip_address
 from math import ceil
 from typing import Any
 
@@ -150,8 +151,7 @@
         """Poll and switch until stopped."""
         while not self._stopped:
             for _ in range(len(self._ready)):
-                fn, args = self._ready.popleft()
-                fn(*args)
+                self._call(*self._ready.popleft())
             for fd, events in self._poll.poll(self._pause()):
                 for event, waiter in list(self._waits.get(fd, {}).items()):
                     if events & (event | BROKEN):
@@ -160,7 +160,13 @@
             while self._timers and self._timers[0][0] <= now:
                 timer = heappop(self._timers)[2]
                 if timer.fn is not None:
-                    timer.fn(*timer.args)
+                    self._call(timer.fn, timer.args)
+
+    def _call(self, fn: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        try:
+            fn(*args)
+        except Exception:  # guards the process: a fault in one call from the hub would end all greenlets
+            logging.getLogger("loop").exception("call-failed", extra={"pairs": {"in": str(fn)}})
 
     def _pause(self) -> int | None:
         """Return how many milliseconds the hub may sleep."""
@@ -331,11 +337,11 @@
 
 
 def address(text: str, least: int = 1) -> tuple[str, int]:
-    """Split ``host:port``; raises ``ValueError``."""
+    """Split ``IP:port``; raises ``ValueError``. A name would have to be looked up, which stops the loop."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not least <= int(port) < 65536:
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
+    if not colon or not port.isdecimal() or not least <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not IP:port")
+    return str(ip_address(host.strip("[]"))), int(port)
 
 
 def connect(loop: Loop, to: tuple[str, int], timeout: float, **limits: int) -> Stream:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -329,7 +329,8 @@
 
 
 @pytest.mark.parametrize("change,key", [
-    ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"stop_ms": "soon"}, "stop_ms"),
+    ({"listen": "nowhere"}, "listen"), ({"store": "store:9042"}, "store"),
+    ({"seed": "xyz"}, "seed"), ({"stop_ms": "soon"}, "stop_ms"),
     ({"limits": {"sockets": 3}}, "limits.sockets"), 
     ({"settings": {**INFO, "Services": []}}, "settings.Services"),
     ({"settings": {k: v for k, v in INFO.items() if k != "Layer"}}, "settings.Layer")])
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -1,5 +1,7 @@
 """Inventories in both forms, and the plain words for what is wrong with them."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
@@ -26,8 +28,8 @@
     elsewhere:
       hosts: {b3: {amqp_queue: never}}
 """
-CSV = "host,group,amqp_queue,amqp_port,amqp_prefetch,note\n"
-CSV += "b1,shops,jobs,5672,7,x\n\nb1,shops,books,,,\nb9,no,q,,,\n"
+CSV = "host,group,amqp_host,amqp_queue,amqp_port,amqp_prefetch,note\n"
+CSV += "b1,shops,127.0.0.3,jobs,5672,7,x\n\nb1,shops,127.0.0.3,books,,,\nb9,no,q,,,,\n"
 
 
 def load(folder, text, name="inventory.yml", group="shops", told="", environ=None):
@@ -46,10 +48,17 @@
 
 def test_csv_rows_of_one_broker_share_its_connection(tmp_path):
     (broker, queues), = load(tmp_path, CSV, "inventory.csv").queues.items()
-    assert broker.address == ("b1", 5672)
+    assert broker.address == ("127.0.0.3", 5672)
     assert [(q.name, q.prefetch) for q in queues] == [("jobs", 7), ("books", 32)]
 
 
+def test_the_example_under_deploy_can_be_switched_on(tmp_path):
+    text = (Path(__file__).parent.parent / "deploy/amqp-inventory.yml").read_text()
+    word = {"LAPISPICK_AMQP_PASSWORD": "x"}
+    (broker, queues), = load(tmp_path, text, group="dispatch_brokers", environ=word).queues.items()
+    assert broker.password == "x" and [q.name for q in queues] == ["bookings", "shop-requests"]
+
+
 def test_the_front_is_off_unless_it_is_switched_on(tmp_path):
     path = tmp_path / "off.toml"
     path.write_text('inventory = "nowhere.csv"\n')
@@ -62,16 +71,17 @@
 
 @pytest.mark.parametrize("name,text,where", [
     ("i.csv", HEAD + "b,q,x\n", r"i\.csv: row 2: amqp_port: must be a number"),
-    ("i.csv", HEAD + "b,q,1\nc,,2\n", r"i\.csv: row 3: amqp_queue: must name a queue"),
+    ("i.csv", HEAD + "127.0.0.1,q,1\n127.0.0.2,,2\n", r"i\.csv: row 3: amqp_queue: must name a queue"),
+    ("i.csv", "host,amqp_host,amqp_queue\nb,no host,q\n", r"i\.csv: row 2: amqp_host: 'no host' has no"),
     ("i.csv", HEAD + ",q,1\n", r"i\.csv: row 2: host: is empty"),
     ("i.csv", HEAD + "b,q\n", r"i\.csv: row 2: amqp_port: 2 cells"),
-    ("i.csv", HEAD + "b,q,1\nb,q,1\n", r"i\.csv: row 3: amqp_queue: 'q' is consumed twice"),
+    ("i.csv", HEAD + "127.0.0.1,q,1\n127.0.0.1,q,1\n", r"i\.csv: row 3: amqp_queue: 'q' is consumed twice"),
     ("i.csv", "name,x\n", r"i\.csv: row 1: host: the header"),
     ("i.csv", "host,host\n", r"i\.csv: row 1: host: .*twice"),
     ("i.csv", 'host,amqp_queue\n"b,q\n', r"i\.csv: row 2"),
     ("i.csv", "", r"i\.csv: row 1: host"),
     ("i.csv", "host,amqp_queue,amqp_prefech\nb,q,3\n", r"i\.csv: row 2: amqp_prefech: unknown"),
-    ("i.csv", "host,amqp_queue,amqp_class\nb,q,x\n", r"i\.csv: row 2: amqp_class: 'x' is none of track"),
+    ("i.csv", "host,amqp_queue,amqp_class\n127.0.0.1,q,x\n", r"i\.csv: row 2: amqp_class: 'x' is none of"),
     ("i.yml", YAML.replace("5673", "0"), r"i\.yml: row 15: amqp_port: must be a number"),
     ("i.yml", YAML.replace("amqp_prefetch: 9", "amqp_prefetch: true"), r"i\.yml: row 14: amqp_prefetch"),
     ("i.yml", YAML.replace("amqp_class: book", "amqp_clas: book"), r"i\.yml: row 14: amqp_clas: unknown"),
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,59 @@
+"""The scheduler by itself: what one part does wrong costs that part only."""
+
+import time
+
+from lapispick.host.core import Diagnosed
+from lapispick.host.executor import ExecutorLink
+from lapispick.host.loop import Loop, Queue
+
+
+def test_faults_of_greenlets_and_timers_leave_the_rest_running():
+    loop, seen = Loop(), []
+    loop.spawn(lambda: 1 / 0)
+    loop.later(0.0, lambda: 1 / 0)
+    loop.later(0.01, seen.append, "later")
+    loop.later(0.02, loop.stop)
+    loop.run()
+    assert seen == ["later"]
+
+
+def test_cancelled_timers_and_killed_greenlets_do_nothing_more():
+    loop, seen = Loop(), []
+
+    def sleeper():
+        try:
+            loop.sleep(60)
+            seen.append("woke")
+        finally:
+            seen.append("ended")
+
+    task = loop.spawn(sleeper)
+    loop.later(0.0, seen.append, "never").cancel()
+    loop.later(0.01, loop.kill, task)
+    loop.later(0.02, loop.stop)
+    began = time.monotonic()
+    loop.run()
+    assert seen == ["ended"] and task.dead and time.monotonic() - began < 5
+
+
+def test_a_queue_hands_over_all_that_waits_in_order():
+    loop, got = Loop(), []
+    queue = Queue(loop)
+
+    def taker():
+        while len(got) < 2:
+            got.append(queue.take_all())
+        loop.stop()
+
+    loop.spawn(taker)
+    loop.later(0.0, lambda: [queue.put(i) for i in (1, 2, 3)])
+    loop.later(0.01, queue.put, 4)
+    loop.run()
+    assert got == [[1, 2, 3], [4]]
+
+
+def test_a_deep_check_without_a_link_fails_at_once():
+    loop, posted = Loop(), []
+    link = ExecutorLink(loop, ("127.0.0.1", 1), posted.append)
+    nonce = link.diagnose()
+    assert posted == [Diagnosed(nonce, False)]
