Read the configuration again on SIGHUP and move executor, store and roster in place

Cause: __main__.py set handlers for SIGTERM and SIGINT only, so SIGHUP ended the process; and ExecutorLink, StoreClient and Roster held their address for life.

Change, over those files: signals come as bytes on the wake-up socket; SIGHUP reads the whole file through config.py, a faulty one is logged with its key and the old one stays. The executor's link first asks for the gauges: the answer proves that all commands before it were carried out, then it joins the new address at its last notice. Only commands of the last 0.5 s before a break that came by itself count as lost (before: every command with no notice since, which sent old replies to calls again). Store calls that are out end where they began, idle connections are closed. The roster hears of changes three times and else every 0.25 s: at 0.9 s three losses running, one in 64 at a loss of a quarter, let the entry lapse after 3 s.

Ruled out: lost replies of calls in flight; they end on the old connection within the 1.5 s.

--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -9,6 +9,8 @@
 import sys
 import time
 
+import msgspec
+
 from lapispick.host import core
 from lapispick.host.amqp.consumer import AmqpFront
 from lapispick.host.clients import Gateways
@@ -22,69 +24,109 @@
 
 LOG = "host"
 CLOSE_LISTENER_S = 0.4  # s before the end; until then those who did not hear yet are refused in plain words
+RELOADED = ("executor", "store", "roster", "stop_ms")  # keys that a reload changes in place
 END_S = 0.05  # s before the end; by then all is answered and handed over
 
 
-def watch_signals(loop: Loop, centre: Core, stop_ms: float) -> None:
-    """Turn SIGTERM into the notice to leave."""
-    told, sock = socket.socketpair()
-    for end in (told, sock):
-        end.setblocking(False)
-    signal.set_wakeup_fd(sock.fileno())
-    signal.signal(signal.SIGTERM, lambda *_: None)
-    signal.signal(signal.SIGINT, lambda *_: None)
-    loop.wait(told.fileno(), READ)
-    centre.post(core.Departing(stop_ms))
-
-
-def end_in_time(loop: Loop, centre: Core, gateways: Gateways, stop_ms: float) -> None:
-    """Serve until shortly before the process is stopped, and end once all that was read is answered."""
-    end_at = time.monotonic() + stop_ms / 1000
-    loop.sleep(max(0.0, end_at - CLOSE_LISTENER_S - time.monotonic()))
-    gateways.close_listener()
-    loop.sleep(CLOSE_LISTENER_S / 2)  # what came with the last connections is read meanwhile
-    while time.monotonic() < end_at - END_S:
-        if centre.owed == 0 and all(front.flushed() for front in centre.fronts):
-            break
-        loop.sleep(0.01)
-    log(LOG, logging.INFO, "ended", owed=centre.owed)
-    loop.stop()
-
-
-def run(config: Config, consume: Consume | None) -> None:
-    """Run the worker host until it was told to leave."""
-    loop, settings = Loop(), config.start
-    centre = Core(loop, settings, int(config.seed, 16))
-    centre.executor = executor = ExecutorLink(loop, config.address("executor"), centre.post)
-    sockets = config.limits.sockets
-    centre.store = StoreClient(loop, config.address("store"), centre.post, most=sockets // 4)
-    roster = Roster(loop, config.address("roster"), config.name)
-    centre.on_duty = roster.set
-    gateways = Gateways(loop, config.address("listen"), config.settings, settings, sockets * 5 // 8,
-                        centre.post, lambda: centre.advice)
-    centre.fronts.append(gateways)
-    if consume is not None:
-        amqp = AmqpFront(loop, consume, config.settings, settings, centre.post)
-        centre.fronts.append(amqp)
-        amqp.start()
-
-    def leave() -> None:
-        watch_signals(loop, centre, config.stop_ms)
-        end_in_time(loop, centre, gateways, config.stop_ms)
-
-    for part in (centre.serve, executor.serve, roster.serve, gateways.serve, leave):
-        loop.spawn(part)
-    log(LOG, logging.INFO, "started", name=config.name, listen=gateways.address)
-    gc.freeze()
-    loop.run()
+class Signals:
+    """Signals as bytes on a socket, so that the loop takes them like anything else."""
+
+    def __init__(self) -> None:
+        self.told, self._tell = socket.socketpair()
+        for end in (self.told, self._tell):
+            end.setblocking(False)
+        signal.set_wakeup_fd(self._tell.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda *_: None)
+
+    def take(self) -> bytes:
+        """Return the numbers of those that came."""
+        try:
+            return self.told.recv(256)
+        except BlockingIOError:
+            return b""
+
+
+class Host:
+    """All parts of one worker host."""
+
+    def __init__(self, config: Config, consume: Consume | None, signals: Signals) -> None:
+        self.loop, self.config, self.signals, self.leaving = Loop(), config, signals, False
+        loop, settings, sockets = self.loop, config.start, config.limits.sockets
+        self.centre = centre = Core(loop, settings, int(config.seed, 16))
+        self.executor = centre.executor = ExecutorLink(loop, config.address("executor"), centre.post)
+        self.store = centre.store = StoreClient(loop, config.address("store"), centre.post, most=sockets // 4)
+        self.roster = Roster(loop, config.address("roster"), config.name)
+        centre.on_duty = self.roster.set
+        self.gateways = Gateways(loop, config.address("listen"), config.settings, settings, sockets * 5 // 8,
+                                 centre.post, lambda: centre.advice)
+        centre.fronts.append(self.gateways)
+        if consume is not None:
+            amqp = AmqpFront(loop, consume, config.settings, settings, centre.post)
+            centre.fronts.append(amqp)
+            amqp.start()
+
+    def run(self) -> None:
+        """Run until told to leave."""
+        parts = (self.centre, self.executor, self.roster, self.gateways)
+        for serve in (*(part.serve for part in parts), self._watch):
+            self.loop.spawn(serve)
+        log(LOG, logging.INFO, "started", name=self.config.name, listen=self.gateways.address)
+        gc.freeze()
+        self.loop.run()
+
+    def _watch(self) -> None:
+        """Act on signals, for ever: SIGHUP may come at any time, also while we leave."""
+        while True:
+            self.loop.wait(self.signals.told.fileno(), READ)
+            came = self.signals.take()
+            if signal.SIGHUP in came:
+                self.loop.soon(self._reload)
+            if not self.leaving and (signal.SIGTERM in came or signal.SIGINT in came):
+                self.leaving = True
+                self.loop.spawn(self._leave)
+
+    def _reload(self) -> None:
+        """Read the configuration again and go over to the peers' new addresses; the rest needs a restart."""
+        try:
+            fresh = load()
+        except ConfigError as err:
+            log(LOG, logging.ERROR, "reload-refused", fault=err)
+            return
+        keys = [f.name for f in msgspec.structs.fields(Config)]
+        changed = [key for key in keys if getattr(fresh, key) != getattr(self.config, key)]
+        taken = [key for key in changed if key in RELOADED]
+        for key in taken:
+            setattr(self.config, key, getattr(fresh, key))
+        log(LOG, logging.INFO, "reloaded", changed=",".join(taken) or "nothing")
+        if left := [key for key in changed if key not in RELOADED]:
+            log(LOG, logging.WARNING, "reload-left-out", needs_restart=",".join(left))
+        for key, part in (("executor", self.executor), ("store", self.store), ("roster", self.roster)):
+            part.move(self.config.address(key))
+
+    def _leave(self) -> None:
+        """Serve until shortly before the process is stopped, and end once all that was read is answered."""
+        stop_ms, loop = self.config.stop_ms, self.loop
+        self.centre.post(core.Departing(stop_ms))
+        end_at = time.monotonic() + stop_ms / 1000
+        loop.sleep(max(0.0, end_at - CLOSE_LISTENER_S - time.monotonic()))
+        self.gateways.close_listener()
+        loop.sleep(CLOSE_LISTENER_S / 2)  # what came with the last connections is read meanwhile
+        while time.monotonic() < end_at - END_S:
+            if self.centre.owed == 0 and all(front.flushed() for front in self.centre.fronts):
+                break
+            loop.sleep(0.01)
+        log(LOG, logging.INFO, "ended", owed=self.centre.owed)
+        loop.stop()
 
 
 def main() -> int:
     """Start from the environment; 2 for a faulty configuration."""
     setup()
+    signals = Signals()  # first of all: a SIGHUP before this would end the process
     try:
         config = load()
-        run(config, load_amqp(config.settings))
+        Host(config, load_amqp(config.settings), signals).run()
     except ConfigError as err:
         log(LOG, logging.ERROR, "config-faulty", fault=err)
         return 2
--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,17 +12,22 @@
 
 from lapispick.host import core
 from lapispick.host.logs import log
-from lapispick.host.loop import Loop, Overlong, Stream, connect
+from lapispick.host.loop import Loop, Overlong, Stream, Waiter, connect
 from lapispick.interface import Outcome
 
 LOG = "executor"
 CONNECT_S = 1.0  # s; for one try of a connection
-BACKOFF_S = (0.05, 0.8)  # s; first and longest pause before the next try
+BACKOFF_S = (0.01, 0.4)  # s; first and longest pause before the next try
+# s; what was sent this long before a break was noticed may be lost with it: the executor may lose the last
+# 50 ms, the rest is what a busy host takes to notice
+UNSURE_S = 0.5
+LAST_S = 0.3  # s; the longest wait for the answer that ends a link which is given up for a new address
 LONGEST = 1 << 20  # bytes of one notice; results hold up to 4 KiB
 OUT_MOST = 4 << 20  # bytes of commands kept for an executor that does not read
 ENDS = {"complete": Outcome.OK, "error": Outcome.ERROR, "cancelled": Outcome.CANCELLED,
         "unknown": Outcome.MOOT}
 FENCE = "fence"  # the METER whose answer says that all notices of the time without a link were read
+LAST = "last"  # the METER whose answer says that all commands before it were carried out
 
 
 class Notice(msgspec.Struct):
@@ -43,7 +49,7 @@
 
     keyed: bool
     command: dict[str, Any] | None
-    sent: bool = False  # written to some link, which may have lost it
+    sent_at: float = 0.0  # when it was written to a link, which may have lost it; 0 = not yet
 
 
 class ExecutorLink:
@@ -52,6 +58,9 @@
     def __init__(self, loop: Loop, address: tuple[str, int], post: Callable[[Any], None]) -> None:
         self._loop, self._address, self._post = loop, address, post
         self._stream: Stream | None = None  # set while commands may be sent
+        self._link: Stream | None = None  # set while a connection is open
+        self._nap: Waiter | None = None  # set between two tries
+        self._pause, self._broke_at = BACKOFF_S[0], 0.0
         self._open: dict[str, Open] = {}
         self._index = 0
         self._checks = 0
@@ -106,8 +115,9 @@
     def _order(self, tag: str, command: dict[str, Any]) -> None:
         if (task := self._open.get(tag)) is None:
             return
-        task.command, task.sent = command, self._stream is not None
+        task.command, task.sent_at = command, 0.0
         if self._stream is not None:
+            task.sent_at = time.monotonic()
             self._send(self._stream, command)
 
     def _send(self, stream: Stream, command: dict[str, Any]) -> None:
@@ -117,27 +127,43 @@
 
     def serve(self) -> None:
         """Hold a link, and open a new one whenever it ends."""
-        pause = BACKOFF_S[0]
         while True:
-            stream = None
+            to = self._address
             try:
-                stream = connect(self._loop, self._address, CONNECT_S, longest=LONGEST, out_most=OUT_MOST)
-                self._send(stream, {"verb": "JOIN", "index": self._index})
-                if self._read(stream):
-                    pause = BACKOFF_S[0]
+                self._link = connect(self._loop, to, CONNECT_S, longest=LONGEST, out_most=OUT_MOST)
+                if to == self._address:
+                    self._send(self._link, {"verb": "JOIN", "index": self._index})
+                    self._read(self._link)
                 log(LOG, logging.WARNING, "link-ended", index=self._index, open=len(self._open))
             except (OSError, Overlong) as err:
                 log(LOG, logging.WARNING, "link-failed", error=err)
             finally:
-                self._stream = None
+                self._stream, self._broke_at = None, time.monotonic()
                 self._lose_checks()
-                if stream is not None:
-                    stream.close()
-            self._loop.sleep(pause)
-            pause = min(BACKOFF_S[1], pause * 2)
-
-    def _read(self, stream: Stream) -> bool:
-        """Read notices until the link ends; True if the executor answered on it."""
+                if self._link is not None:
+                    self._link.close()
+                self._link = None
+            if to == self._address:
+                self._nap = Waiter(self._loop)
+                self._loop.suspend(self._nap, self._pause)
+                self._nap, self._pause = None, min(BACKOFF_S[1], self._pause * 2)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go over to a new address, after the present link's commands were carried out: none is lost."""
+        if address == self._address:
+            return
+        self._address, self._pause = address, BACKOFF_S[0]
+        if self._nap is not None:
+            self._nap.wake()
+        stream, self._stream = self._stream, None  # what comes now waits for the new link
+        if stream is not None:
+            self._send(stream, {"verb": "METER", "nonce": LAST})
+            self._loop.later(LAST_S, stream.close)
+        elif self._link is not None:
+            self._link.close()
+
+    def _read(self, stream: Stream) -> None:
+        """Read notices until the link ends."""
         while (line := stream.read_line()) is not None:
             try:
                 notice = self._decode(line)
@@ -153,25 +179,35 @@
             else:
                 self._index = max(self._index, notice.index)
                 taker(notice)
-        return self._stream is not None
 
     def _welcome(self, stream: Stream, notice: Notice) -> None:
         log(LOG, logging.INFO, "link-up", outcome=notice.outcome, spent_ms=notice.spent, index=self._index)
         self._post(core.ExecutorUp(notice.outcome == "chilly", notice.spent))
         # Notices of the time without a link come first; the answer to this says that all were read.
         self._send(stream, {"verb": "METER", "nonce": FENCE})
-        self._stream = stream
+        self._stream, self._pause = stream, BACKOFF_S[0]
 
     def _after_fence(self) -> None:
         """Send again what the old link may have lost, but no keyed start that may have got through."""
         for tag, task in list(self._open.items()):
             if task.command is None or self._stream is None:
                 continue
-            if task.command["verb"] == "EXEC" and task.keyed and task.sent:
+            if task.sent_at and task.sent_at < self._broke_at - UNSURE_S:
+                task.command = None  # it got through: a second copy could only do harm
+            elif task.sent_at and task.keyed and task.command["verb"] == "EXEC":
+                task.command = None
                 self._post(core.RunUnsure(tag))
-                continue
-            task.sent = True
-            self._send(self._stream, task.command)
+            elif task.sent_at < self._broke_at:  # what came since went out on this link
+                task.sent_at = time.monotonic()
+                self._send(self._stream, task.command)
+
+    def _carried_out(self) -> None:
+        """Note that the executor has read all that was sent to the link which is being left."""
+        for task in self._open.values():
+            if task.sent_at:
+                task.command = None
+        if self._link is not None:
+            self._link.close()
 
     # Notices.
 
@@ -188,6 +224,8 @@
     def _meters(self, notice: Notice) -> None:
         if notice.nonce == FENCE:
             self._after_fence()
+        elif notice.nonce == LAST:
+            self._carried_out()
         self._post(core.Metered(notice.readings))
 
     def _diagnosed(self, notice: Notice) -> None:
--- a/lapispick/host/roster.py
+++ b/lapispick/host/roster.py
@@ -1,4 +1,4 @@
-"""Reports to the roster: one datagram about each second, and one at once when the state changes."""
+"""Reports to the roster: four datagrams a second, and several at once when something changes."""
 
 from __future__ import annotations
 
@@ -9,7 +9,9 @@
 from lapispick.host.loop import Loop
 
 LOG = "roster"
-EVERY_S = 0.9  # s; an entry lapses after 3 s, so two datagrams may get lost
+# s; a quarter of the datagrams are lost and an entry lapses after 3 s: with twelve in that time none does
+EVERY_S = 0.25
+REPEATS_S = (0.0, 0.03, 0.08)  # s; when a change is reported, so that it is heard at once
 
 
 class Roster:
@@ -25,10 +27,21 @@
         """Report this state from now on."""
         if on != self._on:
             self._on = on
-            self._report()
+            self._report_change()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Report to a new address from now on."""
+        if address != self._address:
+            self._address = address
+            self._report_change()
+
+    def _report_change(self) -> None:
+        for after in REPEATS_S:
+            self._loop.later(after, self._report)
 
     def serve(self) -> None:
         """Report for ever."""
+        self._report_change()
         while True:
             self._report()
             self._loop.sleep(EVERY_S)
--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -33,12 +33,13 @@
 class Ticket:
     """One call."""
 
-    __slots__ = ("began", "body", "done", "stream", "tag", "timeout", "worker")
+    __slots__ = ("address", "began", "body", "done", "stream", "tag", "timeout", "worker")
 
     def __init__(self, tag: str, body: str, timeout_ms: float) -> None:
         self.tag, self.body, self.timeout = tag, body, timeout_ms / 1000
         self.began, self.done = time.monotonic(), False
         self.stream: Stream | None = None
+        self.address: tuple[str, int] | None = None  # where it was made
         self.worker: greenlet | None = None
 
 
@@ -106,7 +107,6 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], post: Callable[[Any], None], most: int) -> None:
         self._loop, self._address, self._post, self._most = loop, address, post, most
-        self._host = f"{address[0]}:{address[1]}"
         self._idle: deque[tuple[float, Stream]] = deque()  # by the time they went idle
         self._busy = 0
         self._sweeping = False
@@ -117,6 +117,13 @@
         ticket.worker = self._loop.spawn(self._run, ticket)
         return ticket
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Make new calls at a new address; those that are out end where they began."""
+        if address != self._address:
+            self._address = address
+            while self._idle:
+                self._idle.pop()[1].close()
+
     def drop(self, ticket: Ticket) -> None:
         """Give a call up: its connection is closed and nothing is reported."""
         if not ticket.done:
@@ -141,7 +148,7 @@
             return
         ticket.done = True
         if ticket.stream is not None and reusable:
-            self._keep(ticket.stream)
+            self._keep(ticket.stream, ticket.address)
         took = (time.monotonic() - ticket.began) * 1000
         self._post(core.CallOver(ticket, outcome, took, base64.b64encode(reply).decode()))
 
@@ -153,12 +160,13 @@
         except binascii.Error:
             return Outcome.ERROR, b"", False
         try:
-            ticket.stream = self._open(min(CONNECT_S, ticket.timeout))
+            ticket.stream = self._open(ticket)
         except OSError as err:  # nothing was sent, so no call ran
             log(LOG, logging.WARNING, "connect-failed", error=err)
             return Outcome.CONNECT_FAILED, b"", False
         wait = max(1, int((deadline - time.monotonic()) * 1000))
-        head = (f"POST /query HTTP/1.1\r\nHost: {self._host}\r\nX-For-Request: {ticket.tag}\r\n"
+        host, port = ticket.address or self._address
+        head = (f"POST /query HTTP/1.1\r\nHost: {host}:{port}\r\nX-For-Request: {ticket.tag}\r\n"
                 f"X-Wait-Ms: {wait}\r\nContent-Length: {len(body)}\r\n\r\n")
         ticket.stream.write(head.encode() + body)
         try:
@@ -172,8 +180,9 @@
             return Outcome.ERROR, b"", False
         return outcome_of(status, headers), reply, headers.get(b"connection", b"").lower() != b"close"
 
-    def _open(self, timeout: float) -> Stream:
+    def _open(self, ticket: Ticket) -> Stream:
         """Take the freshest idle connection that is still good, or open one."""
+        ticket.address = self._address
         while self._idle:
             since, stream = self._idle.pop()
             if time.monotonic() - since < KEEP_S and stream.quiet():
@@ -181,10 +190,15 @@
             stream.close()
         if self._busy > self._most:
             raise OSError("too many calls are out")
-        return connect(self._loop, self._address, timeout, longest=LONGEST_HEAD)
-
-    def _keep(self, stream: Stream) -> None:
-        if len(self._idle) + self._busy >= self._most:
+        try:
+            return connect(self._loop, ticket.address, min(CONNECT_S, ticket.timeout), longest=LONGEST_HEAD)
+        except OSError:
+            if ticket.address == self._address:
+                raise
+            return self._open(ticket)  # the store has a new address since; nothing was sent to the old one
+
+    def _keep(self, stream: Stream, address: tuple[str, int] | None) -> None:
+        if address != self._address or len(self._idle) + self._busy >= self._most:
             return stream.close()
         self._idle.append((time.monotonic(), stream))
         if not self._sweeping:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -50,16 +50,26 @@
     """Accepts connections on an ephemeral port, with a thread for each."""
 
     def __init__(self):
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.at = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.lock = threading.RLock()
         self.links = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listen()
+
+    def listen(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.at = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, args=(self.sock,), daemon=True).start()
 
-    def _accept(self):
+    def move(self):
+        """Go on at a new address; the old one soon accepts nothing, and its links are closed after 1.5 s."""
+        old, links = self.sock, list(self.links)
+        self.listen()
+        threading.Timer(0.3, old.shutdown, (socket.SHUT_RDWR,)).start()
+        threading.Timer(1.5, self.cut, (links,)).start()
+
+    def _accept(self, sock):
         while True:
             try:
-                link, _ = self.sock.accept()
+                link, _ = sock.accept()
             except OSError:
                 return
             self.links.append(link)
@@ -73,12 +83,13 @@
         finally:
             link.close()
 
-    def cut(self):
-        """Break all connections."""
-        for link in self.links:
+    def cut(self, links=None):
+        """Break connections, by default all."""
+        for link in list(self.links) if links is None else links:
             with contextlib.suppress(OSError):
                 link.shutdown(socket.SHUT_RDWR)
-        self.links.clear()
+            if link in self.links:
+                self.links.remove(link)
 
     def close(self):
         with contextlib.suppress(OSError):
@@ -180,7 +191,7 @@
 
 
 class Store(Server):
-    """Answers ``STATUS`` or ``STATUS n`` (with X-Not-Run) by the body; ``hang`` and ``break`` do so."""
+    """Answers ``STATUS`` or ``STATUS n`` (with X-Not-Run) by the body, and ``late``; or hangs or breaks."""
 
     def __init__(self):
         self.calls, self.ended = [], []
@@ -201,6 +212,9 @@
                 return
             if body == "break":
                 return
+            if body == "late":
+                time.sleep(0.5)
+                body = "200"
             status, _, mark = body.partition(" ")
             extra = "X-Not-Run: 1\r\n" if mark else ""
             reply = f"reply {len(self.calls)}"
@@ -212,16 +226,22 @@
     """Collects the reports."""
 
     def __init__(self):
+        self.reports = []
+        self.move()
+
+    def move(self):
+        """Listen at a new address only."""
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
         self.at = f"127.0.0.1:{self.sock.getsockname()[1]}"
-        self.reports = []
-        threading.Thread(target=self._read, daemon=True).start()
+        threading.Thread(target=self._read, args=(self.sock,), daemon=True).start()
 
-    def _read(self):
+    def _read(self, sock):
         while True:
             try:
-                self.reports.append((time.monotonic(), self.sock.recv(200).decode()))
+                word = sock.recv(200).decode()
+                if sock is self.sock:
+                    self.reports.append((time.monotonic(), word))
             except OSError:
                 return
 
@@ -285,7 +305,7 @@
             "name": "n3", "listen": "127.0.0.1:0", "executor": self.executor.at, "roster": self.roster.at,
             "store": self.store.at, "seed": "8c1f30d27a5be964", "stop_ms": stop_ms,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": info or INFO}
-        path = folder / "config.json"
+        self.path = path = folder / "config.json"
         path.write_text(json.dumps(self.config))
         self.log_path = folder / "log.txt"
         self.process = subprocess.Popen(
@@ -314,6 +334,16 @@
         with open(f"/proc/{self.process.pid}/status") as file:
             return int(re.search(r"VmHWM:\s+(\d+)", file.read()).group(1)) / 1024
 
+    def reload(self, text=None, **over):
+        """Replace the configuration, by default with the peers' present addresses, and tell the program."""
+        peers = {key: getattr(self, key).at for key in ("executor", "store", "roster")}
+        seen = self.log().count("event=reload")
+        spare = self.path.with_suffix(".new")
+        spare.write_text(text or json.dumps({**self.config, **peers, **over}))
+        spare.replace(self.path)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: self.log().count("event=reload") > seen, "the reload")
+
     def leave(self):
         self.process.send_signal(signal.SIGTERM)
 
