Skip 1xx heads and keep spoilt, surplus and reset replies out of the store's next call

Causes in store.py: read_reply took a 1xx head for the reply, so the real one was read by the connection's next call; a 200 with no Content-Length passed as an empty, good reply; of two lengths the last one counted; the time limit was looked at only while waiting, so a reply that keeps coming was cut off by size alone, at 1 MB; surplus that came after the check would have been read as the next reply; a connection that the store had forgotten gave RESET for a call that never ran. Change: 1xx heads are skipped (16 at most), names of headers are checked, a reply needs one usable length of 64 KB at most, time counts on every line. A connection is used again 30 ms after a reply with nothing behind it. A reset before any byte on a connection that was idle is made again on a new one, for reads only: for a write the reset may also stand in the reply's place, so its calls never use an old connection and 'has run' stays certain.

--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -168,7 +168,7 @@
 class Store(Protocol):
     """What the core asks of the store: a call, which ends with a ``CallOver``, and its end before that."""
 
-    def call(self, tag: str, body: str, timeout_ms: float) -> Any: ...  # noqa: D102
+    def call(self, tag: str, body: str, timeout_ms: float, once: bool) -> Any: ...  # noqa: D102
     def drop(self, ticket: Any) -> None: ...  # noqa: D102
 
 
@@ -482,8 +482,9 @@
         task = self._tasks.get(action.id)
         if task is None or not task.running or task.answered:
             return
-        timeout = action.timeout or self.settings.classes[task.request.cls].deadline_ms
-        task.ticket = self.store.call(task.request.tag, task.wanted_body, timeout)
+        cls = self.settings.classes[task.request.cls]
+        task.ticket = self.store.call(task.request.tag, task.wanted_body, action.timeout or cls.deadline_ms,
+                                      once=cls.effect is not api.Effect.SAFE)
 
     def _go_without(self, action: api.GoWithout) -> None:
         if (task := self._tasks.get(action.id)) is not None and task.running:
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -226,6 +226,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.loop, self.sock, self.longest, self.out_most, self.chunk = loop, sock, longest, out_most, chunk
         self.closed = self.failed = False
+        self.received = 0  # bytes, ever or since the owner set it back
         self._in, self._out, self._flusher = bytearray(), bytearray(), None
 
     @property
@@ -248,6 +249,7 @@
                 self.failed = True
                 return False
             self._in += data
+            self.received += len(data)
             if not waited:  # a peer that sends without a pause must not keep the others waiting
                 self.loop.give_way()
             return bool(data)
--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import logging
+import re
 import time
 from collections import deque
 from collections.abc import Callable
@@ -20,10 +21,15 @@
 LOG = "store"
 # s; the store closes idle connections at 10 s, and a call that meets such a close has proved nothing
 KEEP_S = 4.0
+KEEP_MOST = 16  # idle connections; calls that must not be made twice open new ones all the time
+SETTLE_S = 0.03  # s; what may still follow a good reply, and would pass for the next one, has come by then
 CONNECT_S = 1.0  # s; the most for opening a connection
 LONGEST_HEAD = 8192  # bytes of one header line
 HEADERS_MOST = 64
-LONGEST_BODY = 1 << 20  # bytes
+LONGEST_BODY = 64 * 1024  # bytes; results hold up to 4 KiB
+CHUNK = 16 * 1024  # bytes read at once
+INTERIM_MOST = 16  # 1xx heads before a reply
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # what a header's name is made of
 
 
 class Malformed(Exception):
@@ -33,10 +39,11 @@
 class Ticket:
     """One call."""
 
-    __slots__ = ("address", "began", "body", "done", "stream", "tag", "timeout", "worker")
+    __slots__ = ("address", "began", "body", "done", "once", "reused", "stream", "tag", "timeout", "worker")
 
-    def __init__(self, tag: str, body: str, timeout_ms: float) -> None:
-        self.tag, self.body, self.timeout = tag, body, timeout_ms / 1000
+    def __init__(self, tag: str, body: str, timeout_ms: float, once: bool) -> None:
+        self.tag, self.body, self.timeout, self.once = tag, body, timeout_ms / 1000, once
+        self.reused = False  # on a connection that carried a call before
         self.began, self.done = time.monotonic(), False
         self.stream: Stream | None = None
         self.address: tuple[str, int] | None = None  # where it was made
@@ -47,47 +54,62 @@
     """Read status, headers and body; raises ``Malformed``, ``Closed``, ``Overlong`` or ``TimeoutError``."""
 
     def line() -> bytes:
-        got = stream.read_line(max(0.0, deadline - time.monotonic()))
+        left = deadline - time.monotonic()
+        if left <= 0:  # a reply that never ends comes without a pause, and no wait would run out
+            raise TimeoutError("the reply took too long")
+        got = stream.read_line(left)
         if got is None:
             raise Closed("the connection ended in a reply")
         return got.rstrip(b"\r")
 
-    version, _, rest = line().partition(b" ")
-    status = rest[:3]
-    if not version.startswith(b"HTTP/1.") or not status.isdigit() or len(status) != 3:
-        raise Malformed("no status line")
-    headers: dict[bytes, bytes] = {}
-    while head := line():
-        name, colon, value = head.partition(b":")
-        if not colon or len(headers) >= HEADERS_MOST:
-            raise Malformed("bad or too many headers")
-        headers[name.strip().lower()] = value.strip()
+    for _ in range(INTERIM_MOST):
+        version, _, rest = line().partition(b" ")
+        status = rest[:3]
+        if version not in (b"HTTP/1.1", b"HTTP/1.0") or not status.isdigit() or rest[3:4] not in (b"", b" "):
+            raise Malformed("no status line")
+        headers = _read_head(line)
+        if not 100 <= int(status) < 200:
+            break
+    else:
+        raise Malformed("no end of 1xx heads")
     if version == b"HTTP/1.0" and headers.get(b"connection", b"").lower() != b"keep-alive":
         headers[b"connection"] = b"close"
-    if headers.get(b"transfer-encoding", b"").lower() == b"chunked":
+    length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding", b"").lower()
+    if coding == b"chunked" and length is None:
         return int(status), headers, _read_chunks(stream, line, deadline)
-    length = headers.get(b"content-length", b"0")
-    if not length.isdigit() or int(length) > LONGEST_BODY:
-        raise Malformed("bad content-length")
+    if coding or length is None or not length.isdigit() or len(length) > 9 or int(length) > LONGEST_BODY:
+        raise Malformed("no usable content-length")
     return int(status), headers, stream.read_exactly(int(length), max(0.0, deadline - time.monotonic()))
 
 
+def _read_head(line: Callable[[], bytes]) -> dict[bytes, bytes]:
+    headers: dict[bytes, bytes] = {}
+    while head := line():
+        name, colon, value = head.partition(b":")
+        name, value = name.lower(), value.strip()
+        if not colon or not TOKEN.fullmatch(name) or len(headers) >= HEADERS_MOST:
+            raise Malformed("bad or too many headers")
+        if headers.setdefault(name, value) != value and name in (b"content-length", b"transfer-encoding"):
+            raise Malformed("two lengths")
+    return headers
+
+
 def _read_chunks(stream: Stream, line: Callable[[], bytes], deadline: float) -> bytes:
     body = bytearray()
     while True:
         size = line().partition(b";")[0].strip()
-        try:
-            count = int(size, 16)
-        except ValueError:
-            raise Malformed("bad chunk size") from None
-        if count < 0 or len(body) + count > LONGEST_BODY:
+        if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", size):
+            raise Malformed("bad chunk size")
+        count = int(size, 16)
+        if len(body) + count > LONGEST_BODY:
             raise Malformed("bad chunk size")
         if not count:
             while line():
                 pass
             return bytes(body)
         body += stream.read_exactly(count, max(0.0, deadline - time.monotonic()))
-        line()
+        if line():
+            raise Malformed("a chunk without its end")
 
 
 def outcome_of(status: int, headers: dict[bytes, bytes]) -> Outcome:
@@ -111,9 +133,9 @@
         self._busy = 0
         self._sweeping = False
 
-    def call(self, tag: str, body: str, timeout_ms: float) -> Ticket:
-        """Begin a call with a base64 body."""
-        ticket = Ticket(tag, body, timeout_ms)
+    def call(self, tag: str, body: str, timeout_ms: float, once: bool) -> Ticket:
+        """Begin a call with a base64 body; ``once``: it must not be made again unless it never ran."""
+        ticket = Ticket(tag, body, timeout_ms, once)
         ticket.worker = self._loop.spawn(self._run, ticket)
         return ticket
 
@@ -152,7 +174,7 @@
         took = (time.monotonic() - ticket.began) * 1000
         self._post(core.CallOver(ticket, outcome, took, base64.b64encode(reply).decode()))
 
-    def _exchange(self, ticket: Ticket) -> tuple[Outcome, bytes, bool]:
+    def _exchange(self, ticket: Ticket, fresh: bool = False) -> tuple[Outcome, bytes, bool]:
         """Return the outcome, the reply's body, and whether the connection can be used again."""
         deadline = ticket.began + ticket.timeout
         try:
@@ -160,7 +182,7 @@
         except binascii.Error:
             return Outcome.ERROR, b"", False
         try:
-            ticket.stream = self._open(ticket)
+            ticket.stream = self._open(ticket, fresh)
         except OSError as err:  # nothing was sent, so no call ran
             log(LOG, logging.WARNING, "connect-failed", error=err)
             return Outcome.CONNECT_FAILED, b"", False
@@ -168,38 +190,63 @@
         host, port = ticket.address or self._address
         head = (f"POST /query HTTP/1.1\r\nHost: {host}:{port}\r\nX-For-Request: {ticket.tag}\r\n"
                 f"X-Wait-Ms: {wait}\r\nContent-Length: {len(body)}\r\n\r\n")
-        ticket.stream.write(head.encode() + body)
+        stream = ticket.stream
+        stream.write(head.encode() + body)
         try:
-            status, headers, reply = read_reply(ticket.stream, deadline)
+            status, headers, reply = read_reply(stream, deadline)
         except TimeoutError:
             return Outcome.TIMEOUT, b"", False
         except Closed:
+            if ticket.reused and stream.failed and not stream.received:
+                # The store had forgotten the idle connection and reset it at once: this call never ran.
+                ticket.reused, ticket.stream = False, None
+                return self._exchange(ticket, fresh=True)
             return Outcome.RESET, b"", False
         except (Malformed, Overlong) as err:
             log(LOG, logging.WARNING, "reply-malformed", error=err)
             return Outcome.ERROR, b"", False
-        return outcome_of(status, headers), reply, headers.get(b"connection", b"").lower() != b"close"
+        # Surplus behind a good reply would be read as the next one.
+        reusable = headers.get(b"connection", b"").lower() != b"close" and stream.quiet()
+        return outcome_of(status, headers), reply, reusable
 
-    def _open(self, ticket: Ticket) -> Stream:
-        """Take the freshest idle connection that is still good, or open one."""
+    def _open(self, ticket: Ticket, fresh: bool) -> Stream:
+        """Take the freshest idle connection that has settled and is still good, or open one."""
         ticket.address = self._address
-        while self._idle:
-            since, stream = self._idle.pop()
-            if time.monotonic() - since < KEEP_S and stream.quiet():
-                return stream
-            stream.close()
+        # A reset on a connection that was idle may come instead of the reply as well: where the call must not
+        # be made twice, the two are kept apart by a connection of its own.
+        if not fresh and not ticket.once and (stream := self._settled()) is not None:
+            ticket.reused, stream.received = True, 0
+            return stream
         if self._busy > self._most:
             raise OSError("too many calls are out")
+        while self._idle and len(self._idle) + self._busy > self._most:
+            self._idle.popleft()[1].close()
         try:
-            return connect(self._loop, ticket.address, min(CONNECT_S, ticket.timeout), longest=LONGEST_HEAD)
+            return connect(self._loop, ticket.address, min(CONNECT_S, ticket.timeout), longest=LONGEST_HEAD,
+                           chunk=CHUNK)
         except OSError:
             if ticket.address == self._address:
                 raise
-            return self._open(ticket)  # the store has a new address since; nothing was sent to the old one
+            return self._open(ticket, fresh)  # the store has a new address since; nothing was sent to the old
+
+    def _settled(self) -> Stream | None:
+        now, young, found = time.monotonic(), [], None
+        while self._idle and found is None:
+            since, stream = self._idle.pop()
+            if now - since < SETTLE_S:
+                young.append((since, stream))
+            elif now - since < KEEP_S and stream.quiet():
+                found = stream
+            else:
+                stream.close()
+        self._idle.extend(reversed(young))
+        return found
 
     def _keep(self, stream: Stream, address: tuple[str, int] | None) -> None:
         if address != self._address or len(self._idle) + self._busy >= self._most:
             return stream.close()
+        if len(self._idle) >= KEEP_MOST:
+            self._idle.popleft()[1].close()
         self._idle.append((time.monotonic(), stream))
         if not self._sweeping:
             self._sweeping = True
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -2,12 +2,14 @@
 
 import base64
 import contextlib
+import itertools
 import json
 import os
 import random
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -198,11 +200,24 @@
         return [run for run in self.runs if run[2] == body]
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+SPOILT = {  # replies that can't be used; the connection stays open
+    "noise": [b"\x00\xff\x17 nothing\r\n\r\n"], "bare": [OK + b"\r\n"],
+    "minus": [OK + b"Content-Length: -4\r\n\r\n"],
+    "both": [OK + b"Content-Length: 4\r\nContent-Length: 7\r\n\r\nfour"], "odd": [OK + b"no header\r\n\r\n"],
+    "endless": itertools.repeat(b"X-More: of it\r\n" * 99),
+    "interim": itertools.repeat(b"HTTP/1.1 102 Wait\r\n\r\n"),
+    "huge": itertools.chain([OK + b"Content-Length: 3000000000\r\n\r\n"], itertools.repeat(b"x" * 65536))}
+EXTRA = {  # what stands before and after a good reply
+    "early": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", b""),
+    "double": (b"", OK + b"Content-Length: 5\r\n\r\nwrong"), "trail": (b"", b"noise\r\n")}
+
+
 class Store(Server):
     """Answers ``STATUS`` or ``STATUS n`` (with X-Not-Run) by the body, and ``late``; or hangs or breaks."""
 
     def __init__(self):
-        self.calls, self.ended = [], []
+        self.calls, self.ended, self.used = [], [], set()
         super().__init__()
 
     def talk(self, link):
@@ -223,11 +238,24 @@
             if body == "late":
                 time.sleep(0.5)
                 body = "200"
+            if body == "forget":  # like a connection that the store had forgotten: reset before any reply
+                body = "200"
+                if link in self.used:
+                    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return
+            self.used.add(link)
+            if body in SPOILT:
+                for part in SPOILT[body]:
+                    link.sendall(part)
+                file.read(1)
+                return
+            before, after = EXTRA.get(body, (b"", b""))
+            body = "200" if body in EXTRA else body
             status, _, mark = body.partition(" ")
             extra = "X-Not-Run: 1\r\n" if mark else ""
             reply = f"reply {len(self.calls)}"
             head = f"HTTP/1.1 {status} Said\r\n{extra}Content-Length: {len(reply)}\r\n\r\n"
-            link.sendall(head.encode() + reply.encode())
+            link.sendall(before + head.encode() + reply.encode() + after)
 
 
 class Roster:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -60,9 +60,12 @@
 def test_store_connections_are_used_again_but_never_stale_ones(host):
     h = host()
     g = h.gateway()
-    for _ in range(2):
+
+    def again():
         g.result(g.request("track", "call:200"))
-    assert h.store.calls[0][3] is h.store.calls[1][3]
+        return len({c[3] for c in h.store.calls}) < len(h.store.calls)
+
+    until(again, "a connection that is used again")
     h.store.cut()  # closes the connection that was kept
     assert g.result(g.request("track", "call:200")).startswith("reply")
 
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,44 @@
+"""A store whose replies can't be trusted: what is spoilt counts as a call that ran, and nothing leaks on."""
+
+import uuid
+
+import pytest
+
+from tests.standins import SPOILT, until
+
+REFUSED = -32050
+
+
+@pytest.mark.parametrize("what", SPOILT)
+def test_a_spoilt_reply_ends_its_call_and_connection_and_a_write_is_not_called_again(host, what):
+    h = host()
+    g = h.gateway()
+    assert g.result(g.request("track", f"call:{what}")) == "poorer"
+    assert g.code(g.request("book", f"call:{what}", uuid.uuid4().hex)) != REFUSED
+    assert [c[2] for c in h.store.calls] == [what] * 2
+    assert g.result(g.request("track", "call:200")) == "reply 3"
+    assert len({c[3] for c in h.store.calls}) == 3 and h.memory_mb() < 64
+
+
+@pytest.mark.parametrize("what", ["early", "double", "trail"])
+def test_what_stands_around_a_good_reply_reaches_no_run(host, what):
+    h = host()
+    g = h.gateway()
+    for n in range(1, 40):
+        assert g.result(g.request("track", f"call:{what}")) == f"reply {n}"
+
+
+def test_a_forgotten_connection_costs_no_call(host):
+    h = host()
+    g = h.gateway()
+    assert g.result(g.request("track", "call:200")) == "reply 1"
+
+    def again():
+        assert g.result(g.request("track", "call:forget")).startswith("reply")
+        return len(h.store.calls) > len(h.executor.runs)  # one was reset and made again
+
+    until(again, "the reset of a connection that was idle")
+    assert h.log().count("level=warning") == 0
+    assert g.result(g.request("book", "call:200", uuid.uuid4().hex)).startswith("reply")
+    links = [c[3] for c in h.store.calls]
+    assert links.count(links[-1]) == 1  # a write's call has a connection of its own
