--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -162,6 +162,7 @@
     def resume(self, tag: str, body: str) -> None: ...  # noqa: D102
     def skip(self, tag: str, index: int) -> None: ...  # noqa: D102
     def meter(self) -> None: ...  # noqa: D102
+    def forget(self, tag: str) -> None: ...  # noqa: D102
     def diagnose(self) -> str: ...  # noqa: D102
 
 
@@ -188,7 +189,7 @@
     holder: int  # the try that stands for it
     until: float  # repeats that came up to here are matched, however late they are read
     what: int  # a hash of class and body, which all tries share
-    ran: Task | None = None
+    ran: int = 0  # the try that ran; its number only: a cycle would wait minutes for the collector
     over: bool = False  # the run has ended
     result: str | None = None  # None after the end: it failed
     joined: list[Task] = dataclasses.field(default_factory=list)
@@ -321,7 +322,7 @@
         if self.settings.classes[request.cls].effect is not api.Effect.KEYED:
             request.key = None
         key = self._keys.get(request.key) if request.key is not None else None
-        if key is not None and not key.over and key.ran is None and key.holder not in self._tasks:
+        if key is not None and not key.over and not key.ran and key.holder not in self._tasks:
             key = None
         # A repeat counts by when it came, not by when it is read: a late read must not free the key.
         if key is not None and request.born > key.until:
@@ -381,7 +382,7 @@
         if item.outcome not in (Outcome.OK, Outcome.ERROR):
             return self._run_void(task, events, ran=item.outcome is not Outcome.MOOT)
         served = item.outcome is Outcome.OK
-        if task.key is not None and task.key.ran is task:
+        if task.key is not None and task.key.ran == task.id:
             self._key_over(task.key, item.result if served else None)
         events.append(api.RunEnded(task.id, item.outcome, item.spent))
         if not task.answered:
@@ -395,7 +396,7 @@
             # it may never come. Guards the module's slots and calls, which it holds until told of an end.
             events.append(api.Gone(task.id))
             self._answer(task, Answer(FAILED, fault=fault))
-        if task.key is not None and task.key.ran is task:
+        if task.key is not None and task.key.ran == task.id:
             if ran:
                 self._key_over(task.key, None)
             else:  # the key is free for a try of its own
@@ -452,13 +453,13 @@
         if task is None or task.answered:
             return
         key, cls = task.key, self.settings.classes[task.request.cls]
-        if cls.effect is api.Effect.KEYED and (key is None or key.ran is not None):
+        if cls.effect is api.Effect.KEYED and (key is None or key.ran):
             # Guards the rule on duplicates whatever the module says: a key's second run is never started.
             log(LOG, logging.ERROR, "second-run-stopped", tag=task.request.tag)
             self.post(_JoinOver(task, Outcome.ERROR))
             return self._fail(api.Fail(task.id))
         if key is not None:
-            key.ran = task
+            key.ran = task.id
             key.until = max(key.until, task.request.born + cls.window_ms)
         task.running = True
         self.executor.run(task.request.tag, task.request.handler, task.request.body, key is not None)
@@ -470,7 +471,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if (task := self._tasks.get(action.id)) is not None:
-            never_ran = not task.running and (task.key is None or task.key.ran is not task)
+            never_ran = not task.running and (task.key is None or task.key.ran != task.id)
             kind = REFUSED if never_ran else FAILED
             self._answer(task, Answer(kind, None, action.retry_after, action.no_retry))
 
@@ -519,7 +520,7 @@
     def _forget_key(self, action: api.ForgetKey) -> None:
         task = self._tasks.get(action.id)
         key = task.key if task is not None else None
-        if key is not None and key.holder == action.id and key.ran is None:
+        if key is not None and key.holder == action.id and not key.ran:
             self._forget(key)
 
     def _forget(self, key: Key) -> None:
@@ -595,6 +596,7 @@
 
     def _end_unsure(self, task: Task) -> None:
         """Guard against a slot lost for good: no notice may ever come of a start that went with a link."""
+        self.executor.forget(task.request.tag)
         self.post(RunOver(task.request.tag, Outcome.CANCELLED, 0.0, ""))
 
     def _drop_call(self, task: Task) -> None:
--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -90,6 +90,10 @@
         """Let a run go on without the call that this notice asked for."""
         self._order(tag, {"verb": "BYPASS", "task": tag, "index": index})
 
+    def forget(self, tag: str) -> None:
+        """Wait for no end of this run any more."""
+        self._open.pop(tag, None)
+
     def meter(self) -> None:
         """Ask for the gauges."""
         if self._stream is not None:
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -241,13 +241,15 @@
             try:
                 data = self.sock.recv(self.chunk)
             except BlockingIOError:
-                if not self.loop.wait(self.sock.fileno(), READ, timeout) and not self.closed:
-                    raise TimeoutError("nothing was received in time") from None
-                waited = True
-                continue
+                data = None  # the wait stands outside, or each waiting greenlet would hold a traceback
             except OSError:
                 self.failed = True
                 return False
+            if data is None:
+                if not self.loop.wait(self.sock.fileno(), READ, timeout) and not self.closed:
+                    raise TimeoutError("nothing was received in time")
+                waited = True
+                continue
             self._in += data
             self.received += len(data)
             if not waited:  # a peer that sends without a pause must not keep the others waiting
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,7 @@
 """The core by itself, with a recorder in the Controller's place and stand-ins for executor and store."""
 
+import gc
+
 import msgspec
 import pytest
 
@@ -33,6 +35,9 @@
     def run(self, tag, handler, body, keyed):
         self.runs.append(tag)
 
+    def forget(self, tag):
+        self.forgot = tag
+
 
 @pytest.fixture
 def rig():
@@ -114,3 +119,42 @@
     centre.post(core.GaveUp(gone))
     quiet.run()
     assert answers == [("a", core.FAILED)] and centre.owed == 0
+
+
+def test_a_key_that_is_kept_holds_nothing_but_its_result(rig):
+    def decide(event):
+        if type(event) is api.Request:
+            return [api.KeepKey(event.id, 5000.0), api.Run(event.id)]
+        return []
+
+    loop, centre = rig(decide)
+    answers = []
+    gc.disable()  # a cycle would hold the request until the collector runs, minutes later
+    try:
+        for n in range(3):
+            centre.post(core.Arrived(request(f"kept{n}", answers, cls=1, key=n)))
+            loop.later(0.02, centre.post, core.RunOver(f"kept{n}", api.Outcome.OK, 1.0, "r"))
+        loop.run()
+        assert len(answers) == len(centre._keys) == 3 and centre._kept_bytes == 3
+        assert not [o for o in gc.get_objects() if type(o) is core.Request and "kept" in o.tag]
+    finally:
+        gc.enable()
+
+
+def test_results_past_their_bound_go_and_their_keys_stay(rig):
+    def decide(event):
+        if type(event) is not api.Request:
+            return []
+        return [api.Join(event.id)] if event.prior else [api.KeepKey(event.id, 5000.0), api.Run(event.id)]
+
+    loop, centre = rig(decide)
+    centre._kept_most = 250
+    answers = []
+    for n in range(5):
+        centre.post(core.Arrived(request(f"t{n}", answers, cls=1, key=n)))
+        loop.later(0.02, centre.post, core.RunOver(f"t{n}", api.Outcome.OK, 1.0, "r" * 100))
+        loop.later(0.04, centre.post, core.Arrived(request(f"again{n}", answers, cls=1, key=n)))
+    loop.run()
+    assert dict(answers) == {**{f"t{n}": core.SERVED for n in range(5)}, "again3": core.SERVED,
+                             "again4": core.SERVED, **{f"again{n}": core.FAILED for n in range(3)}}
+    assert centre.executor.runs == [f"t{n}" for n in range(5)] and centre._kept_bytes == 200
