Tell single lost replies of the store from a crowded one, and call again for reads

Cause, in control.py, Downstream.ended: any call that failed took 5 % off the limit, and its time, up to the whole spare time, went into the recent time of calls, so that the next twenty looked slow and took 5 % each; the limit grows by 0.1. Requests then waited for calls, and _ahead divided by that limit and refused them on price. Change: while fewer than a quarter of recent calls bring no usable reply, a lost one says nothing about the limit or the times; a read's call is then made once more at once; a call that can be left out is given up after eight times its usual time (60 ms at least) as long as replies are being lost. A share under one call stays as it was.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -75,6 +75,11 @@
 CALLS_MEAN_PART = 0.25  # of the dependency's window; over this the mean of calls in hand is kept
 CALL_MOST = 0.3  # of the share of calls in hand times that window; a call that lasts longer is given up
 CALLS_LEARN = 0.005  # part of a call; how fast the usual time of a call moves
+CALL_PATIENCE = 8.0  # times the usual or recent time of a call; later a read's call is made again or left out
+CALL_PATIENCE_MS = 60.0  # ms; the least of that, for replies that a busy host reads late
+LOST_RECENT = 0.05  # part of a call; memory of the share of calls with no usable reply
+LOST_LEAST = 0.0005  # of the calls; ninety calls after a lost reply none is given up early any more
+LOST_ROOM = 0.25  # of the calls; fewer lost replies say nothing about how crowded the dependency is
 CALL_PAUSE_MS = 60.0  # ms; before a call that was turned away is made again
 
 
@@ -225,11 +230,12 @@
     would keep it at its floor until the usual time has followed.
     """
 
-    __slots__ = ("limit", "mean", "out", "recent", "settings", "since", "usual", "waiting")
+    __slots__ = ("limit", "lost", "mean", "out", "recent", "settings", "since", "usual", "waiting")
 
     def __init__(self, settings: Settings, now: float) -> None:
         self.settings, self.since, self.limit = settings, now, settings.calls_out * CALLS_PART
         self.out, self.mean, self.recent, self.usual = 0, 0.0, 0.0, 0.0  # the last two: times of a call
+        self.lost = 0.0
         self.waiting: list[tuple[float, int, Entry]] = []  # not before, id
 
     def advance(self, now: float) -> None:
@@ -239,18 +245,28 @@
         self.mean += (self.out - self.mean) * (1 - fade)
         self.since = now
 
-    def ended(self, took: float, ok: bool) -> None:
-        """Learn from a call's time."""
+    def ended(self, took: float, outcome: Outcome) -> bool:
+        """Learn from a call's time; True where just a single reply was lost, which is no sign of a crowd."""
+        lost = outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
+        self.lost += (lost - self.lost) * LOST_RECENT
+        if lost and self.lost < LOST_ROOM and self.settings.calls_out >= 1:
+            return True
         share = self.settings.calls_out
         self.recent += (took - self.recent) * (CALLS_RECENT if self.usual else 1.0)
         self.usual += (took - self.usual) * (CALLS_LEARN if self.usual else 1.0)
         if took >= self.longest():
             self.limit = 0.0  # down to the floor
-        elif not ok or self.recent > CALL_ROOM * self.usual:
+        elif outcome is not Outcome.OK or self.recent > CALL_ROOM * self.usual:
             self.limit *= CALLS_BACKOFF
         elif self.waiting:
             self.limit += CALLS_STEP
         self.limit = min(share * CALLS_PART, max(share * CALLS_FLOOR, self.limit))
+        return False
+
+    def patience(self) -> float:
+        """How long a call that can be left out is waited for: a reply that was lost never comes."""
+        usual = max(CALL_PATIENCE_MS, CALL_PATIENCE * max(self.usual, self.recent))
+        return usual if self.lost > LOST_LEAST else inf
 
     def longest(self) -> float:
         """How long a call may last: one that hangs would go far past a share under one call."""
@@ -676,7 +692,7 @@
         elif not self.calls.room():
             self._binds("calls")
             heappush(self.calls.waiting, (self.now, r.id, r))
-        elif (span := spare if skips else r.due_at - self.now) > 0:
+        elif (span := min(spare, self.calls.patience()) if skips else r.due_at - self.now) > 0:
             r.state, r.since, r.tries = CALLING, self.now, r.tries + 1
             self.calls.out += 1
             self.out.append(Call(r.id, min(span, self.calls.longest())))
@@ -691,7 +707,7 @@
         if r is None or r.state != CALLING:
             return
         self.calls.out -= 1
-        self.calls.ended(e.took, e.outcome is Outcome.OK)
+        single = self.calls.ended(e.took, e.outcome)
         r.in_call_ms += self.now - r.since
         if e.outcome is Outcome.OK:
             return self._resume(r)
@@ -701,7 +717,9 @@
         c = self.s.classes[r.cls]
         never_ran = e.outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
         again = (never_ran or c.effect is Effect.SAFE) and r.tries < CALL_TRIES
-        if c.skip_worth > 0 and not (again and e.outcome is Outcome.CONNECT_FAILED):
+        if single and again and r.tries == 1:
+            self._try_call(r)
+        elif c.skip_worth > 0 and not (again and e.outcome is Outcome.CONNECT_FAILED):
             self._resume(r, GoWithout(r.id))
         elif again:
             heappush(self.calls.waiting, (self.now + CALL_PAUSE_MS, r.id, r))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
     Advertise,
     Call,
     CallEnded,
+    GoWithout,
     LimitIdle,
     NeedsCall,
     Outcome,
@@ -125,6 +126,44 @@
     assert r.control.calls.limit == pytest.approx(1.0)
 
 
+def call_days(r, ends, cls):
+    """Let one request at a time make a call that ends so; return the actions for the last one."""
+    for took, outcome in ends:
+        q = r.request(cls, due_at=r.now + 3900)
+        r.step(q)
+        r.step(NeedsCall(q.id), at=r.now + 5)
+        last = len(r.actions)
+        if r.of(Call, q.id):
+            r.step(CallEnded(q.id, outcome, took), at=r.now + took)
+        last = r.actions[last:]
+        r.step(RunEnded(q.id, Outcome.OK, took + 10), at=r.now + 5)
+        r.tick(400)
+    return last
+
+
+def test_single_lost_replies_leave_the_calls_alone_and_many_shrink_them(rig):
+    r = rig(calls_out=5, cores=10)
+    lost = [Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET]
+    call_days(r, [(50, Outcome.OK)] * 9, UNSAFE)
+    limit = r.control.calls.limit
+    for end in lost * 4:
+        call_days(r, [(400, end)] + [(50, Outcome.OK)] * 12, UNSAFE)
+    assert r.control.calls.limit == limit and r.control.calls.recent == pytest.approx(50)
+    call_days(r, [(400, Outcome.TIMEOUT)] * 60, UNSAFE)
+    assert r.control.calls.limit == pytest.approx(1.0)
+
+
+def test_a_read_whose_reply_is_lost_calls_once_more_and_is_not_waited_for_long(rig):
+    r = rig(calls_out=5, cores=10)
+    last = call_days(r, [(50, Outcome.OK)] * 9 + [(60, Outcome.ERROR)], 3)
+    assert [type(a) for a in last] == [Call] and last[0].timeout == pytest.approx(400)
+    r.step(*[r.request(3, due_at=r.now + 3900)])
+    r.step(NeedsCall(r.next_id), at=r.now + 5)
+    for expected in (Call, GoWithout):
+        got = r.step(CallEnded(r.next_id, Outcome.RESET, 10), at=r.now + 10)
+        assert [type(a) for a in got] == [expected]
+
+
 def test_settings_that_contradict_themselves_are_refused():
     good = make_settings()
     bad = [
