Correct the test of scarce calls, which failed with the change as well as without

Now 30 writes are admitted one by one, over 20 of them wait for the one call there is, and a further write is refused while a read runs.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -505,7 +505,7 @@
             if q == queue:
                 break
         wait = work / self.limit.value
-        if self.s.calls_out > 0 and needs[queue % n] and self.est.in_call[queue % n] > 0:  # scarcer than cores
+        if self.s.calls_out > 0 and needs[queue % n] and self.est.in_call[queue % n] > 0:
             wait = max(wait, (call_work + len(self.calls.waiting) * self.calls.recent) / self.calls.limit)
         return wait
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -165,14 +165,17 @@
 
 
 def test_scarce_calls_hold_back_only_requests_that_need_one(rig):
-    r = rig(calls_out=1, cores=10)
+    r = rig(calls_out=1, cores=40)
     call_days(r, [(50, Outcome.OK)] * 9, SKIPS)
     call_days(r, [(50, Outcome.OK)] * 9, UNSAFE)
-    many = [r.request(UNSAFE, due_at=r.now + 3900) for _ in range(9)]
-    r.step(*many)
+    many = [r.request(UNSAFE, due_at=r.now + 3900) for _ in range(30)]
+    for q in many:
+        r.step(q)
     r.step(*[NeedsCall(q.id) for q in many], at=r.now + 5)
+    assert len(r.control.calls.waiting) > 20
     writes, read = r.request(UNSAFE, due_at=r.now + 3900), r.request(SKIPS, due_at=r.now + 3900)
-    r.step(writes, read)
+    r.step(writes)
+    r.step(read)
     assert r.of(Refuse, writes.id) and r.of(Run, read.id) and not r.of(Refuse, read.id)
 
 
