--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -151,6 +151,36 @@
     assert not h.executor.ran("elsewhere")
 
 
+def test_a_message_id_with_another_body_is_failed_and_gets_no_result(edge):
+    h = edge()
+    _, first = ask(h.broker, "booking", cls="book", message_id="m-1")
+    assert until(lambda: h.broker.reply(first), "the reply")[:2] == ("served", "did booking")
+    ask(h.broker, "another", cls="book", message_id="m-1", correlation="c-other")
+    assert until(lambda: h.broker.reply("c-other"), "the other reply")[:2] == ("failed", "")
+    ask(h.broker, "booking", cls="book", message_id="m-1", correlation="c-same")
+    assert until(lambda: h.broker.reply("c-same"), "the repeat")[1] == "did booking"
+    assert len(h.executor.runs) == 1
+
+
+@pytest.mark.parametrize("what", ["unknown", "never", "over"])
+def test_runs_that_bring_no_result_are_failed_and_free_their_slot(edge, what):
+    h = edge()
+    for _ in range(20):  # more than may ever run at once
+        _, c = ask(h.broker, what)
+        assert until(lambda c=c: h.broker.reply(c), "the reply")[0] == "failed"
+    _, c = ask(h.broker, "next")
+    assert until(lambda: h.broker.reply(c), "the next one")[0] == "served"
+
+
+def test_a_reload_moves_the_peers_of_messages_too(edge):
+    h = edge()
+    for peer in (h.executor, h.store, h.roster):
+        peer.move()
+    h.reload()
+    _, c = ask(h.broker, "call:200")
+    assert until(lambda: h.broker.reply(c), "the reply")[0] == "served"
+
+
 def test_a_write_without_message_id_never_runs(edge):
     h = edge()
     silent, _ = ask(h.broker, "nokey", cls="book", message_id=None, reply_to=None)
