--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -9,13 +9,13 @@
 import re
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Literal
 
 import msgspec
 
 from lapispick import interface as api
-from lapispick.host import core
+from lapispick.host import core, room
 from lapispick.host.core import BODY_MOST, KB_MOST
 from lapispick.host.logs import log
 from lapispick.host.loop import READ, Loop, Overlong, Stream
@@ -29,11 +29,10 @@
 LINES_A_TURN = 16  # messages of one connection; then the others have their turn
 BACKLOG = 1024
 FAULTS_MOST = 3  # messages that can't be used; then the connection is closed
-FIRST_S = 1.5  # s; from connecting to a first message; later ones take at most this from start to end
 BORN_MS = (60_000.0, 1000.0)  # ms; how long ago a request may have come, and how far clocks may be apart
 PATIENCES = 10.0  # times the deadline of a class; no gateway waits longer
 ACCEPTS = 64  # in one round, so that a flood of connections leaves time for the rest
-YOUNG_S = 0.1  # s; a connection this new is not closed to make room: what it sends may not be read yet
+LOOKS_MOST = 8  # connections more than are accepted at once that are looked at when room is made
 SWEEP_S = 0.1  # s; between two looks for idle connections
 CLOSE_S = 1.0  # s; how long a peer may take to close after goaway
 PARSE, INVALID, NO_METHOD, FAILED, REFUSED = -32700, -32600, -32601, -32000, -32050
@@ -170,13 +169,19 @@
             self.part_since = 0.0
         elif not self.part_since and self.stream.unread and not self.stream.holds_line():
             self.part_since = now
-        began = self.part_since or (0.0 if self.proven else self.since)
-        if not began or now - began < FIRST_S:
+        if not room.overdue(self.standing(), now):
             return False
         # Guards those whose bytes wait in the system because this host was held up: they have one more look.
         waits, self.suspect = not self.suspect and self.stream.waiting(), True
         return not waits
 
+    def standing(self) -> room.Standing:
+        """Return what decides whether this connection is kept."""
+        part = self.stream.unread > 0 and not self.stream.holds_line()
+        return room.Standing(self.since, self.used_at, self.stream.heard_at, self.stream.pieces,
+                             (self.part_since or self.stream.heard_at) if part else 0.0, bool(self.open or self._fresh),
+                             self.proven, self.faults > 0)
+
     def _take(self, line: bytes) -> None:
         try:
             message = _decode(line)
@@ -323,6 +328,7 @@
         self._listen = listen
         self._sock: socket.socket | None = None
         self.address = "{}:{}".format(*listen)
+        self._going: Iterator[Connection] | None = None  # who makes room in this round, in their order
         self.others = 0  # connections of another process of this worker host, from the same descriptors
 
     @property
@@ -357,6 +363,7 @@
 
     def _accept(self, listener: socket.socket) -> bool:
         """Accept what waits; False where there is no room just now."""
+        self._going = None
         for _ in range(ACCEPTS):
             if len(self.connections) >= max(self._most // 2, self._most - self.others) and not self._make_room():
                 return False
@@ -377,12 +384,15 @@
         return True
 
     def _make_room(self) -> bool:
-        """Close a connection: one that never sent a message or was at fault, else the longest idle."""
-        young = time.monotonic() - YOUNG_S
-        idle = [c for c in self.connections if not c.open and c.since < young]
-        if idle:
-            min(idle, key=lambda c: (c.proven and not c.faults, c.used_at)).close()
-        return bool(idle)
+        """Close the connection that is the least loss, unless bytes of it wait in the system."""
+        if self._going is None:  # once for all that are accepted in one go: nothing is read in between
+            order = room.order(((c, c.standing()) for c in self.connections), time.monotonic())
+            self._going = iter(order[: ACCEPTS + LOOKS_MOST])
+        for c in self._going:
+            if not c.stream.closed and not c.stream.waiting():
+                c.close()
+                return True
+        return False
 
     def closed(self, connection: Connection) -> None:
         """Forget a connection."""
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -233,6 +233,7 @@
         self.closed = self.failed = False
         self.urgent = urgent
         self.received = 0  # bytes, ever or since the owner set it back
+        self.heard_at, self.pieces = 0.0, 0  # when some came last, and how often
         self._in, self._out, self._flusher = bytearray(), bytearray(), None
 
     @property
@@ -258,6 +259,7 @@
                 continue
             self._in += data
             self.received += len(data)
+            self.heard_at, self.pieces = time.monotonic(), self.pieces + 1
             if not waited:  # a peer that sends without a pause must not keep the others waiting
                 self.loop.give_way()
             return bool(data)
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -49,9 +49,26 @@
     return base64.b64encode(text.encode() if isinstance(text, str) else text).decode()
 
 
+class Trickle:
+    """A socket that sends each byte by itself."""
+
+    def __init__(self, sock):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def sendall(self, data):
+        for byte in data:
+            self._sock.sendall(bytes([byte]))
+
+
 class Server:
     """Accepts connections on an ephemeral port, with a thread for each."""
 
+    trickle = False  # send each byte by itself
+
     def __init__(self):
         self.lock = threading.RLock()
         self.links = []
@@ -75,6 +92,7 @@
                 link, _ = sock.accept()
             except OSError:
                 return
+            link = Trickle(link) if self.trickle else link
             self.links.append(link)
             threading.Thread(target=self._guarded, args=(link,), daemon=True).start()
 
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -327,3 +327,12 @@
             # What is turned away has never run, not even for the sake of another copy.
             assert cls != "book" or p.type != "refused" or not effects[subject]
     assert outcomes["served"] > 0.5 * len(asked)
+
+
+def test_frames_may_come_byte_by_byte(edge):
+    broker = Broker()
+    broker.trickle = True
+    h = edge(broker=broker)
+    messages = [ask(broker, f"x{n}", cls="book") for n in range(5)]
+    until(lambda: all(m.fate == "ack" for m, _ in messages), "all acknowledged")
+    assert len(h.executor.runs) == 5
