Count what was given up as a failure, for an answer on the wire says so

At fault: clients.py answers a giveUp with an error, and core.py counted it as gone only. Ruled out: lag (the calls were answered in time) and the front's own errors (none logged). Change: the core counts it as failure, also where a request was taken back before it was handed over.

--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -248,8 +248,7 @@
                 self._fault(None, INVALID, "no such request")
             return
         del self.open[number]
-        if self._fresh.pop(number, None) is None:
-            self.front.post(core.GaveUp(request))
+        self.front.post(core.GaveUp(request, at_once=self._fresh.pop(number, None) is not None))
         # None is owed; it tells a peer that asks and takes back by the hundreds that we have read it.
         self._error(number, FAILED, "Given up", self.front.advice())
         self._settled()
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -76,9 +76,10 @@
 
 
 class GaveUp(NamedTuple):
-    """Nobody waits for this request any more."""
+    """Nobody waits for this request any more; ``at_once``: it was taken back before it was handed over."""
 
     request: Request
+    at_once: bool = False
 
 
 class Probed(NamedTuple):
@@ -413,11 +414,14 @@
             request.held_kb, request.cls, request.caller))
 
     def _gave_up(self, item: GaveUp, events: list[api.Event]) -> None:
+        if item.at_once:
+            return self.figures.answered(FAILED, item.request.cls)
         task = self._by_tag.get(item.request.tag)
         if task is None or task.request is not item.request or task.answered:
             return
         events.append(api.Gone(task.id))
         self._gone += 1
+        self.figures.answered(FAILED, task.request.cls)  # the front says so to whoever still listens
         self._settle(task)
 
     def _probed(self, item: Probed, events: list[api.Event]) -> None:
--- a/lapispick/host/handover.py
+++ b/lapispick/host/handover.py
@@ -13,6 +13,7 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any
@@ -127,6 +128,8 @@
         try:
             sock.setblocking(False)
             fresh = f"{self._path}.{os.getpid()}"
+            with suppress(FileNotFoundError):
+                os.unlink(fresh)
             sock.bind(fresh)
             sock.listen(4)
             os.rename(fresh, self._path)  # in one step over what a process before left
