Divide descriptors between two processes, and give operators pages, commands and measurements

Need: the two processes of an upgrade are one worker host to the limits; the on-call page, the sub-commands and the measurements of the new parts were missing.

Change: handover/budget.py divides connections and calls; a process that holds more closes idle ones (room.py's order).

--- a/lapispick/cli/main.py
+++ b/lapispick/cli/main.py
@@ -9,6 +9,7 @@
 from lapispick.cli.config import config
 from lapispick.cli.demo import demo
 from lapispick.cli.inventory import inventory
+from lapispick.cli.ops import ops
 from lapispick.cli.trace import trace
 
 
@@ -40,7 +41,7 @@
     click.echo(made(cli, {}, "lapispick", "_LAPISPICK_COMPLETE").source())
 
 
-for command in (config, inventory, trace, demo):
+for command in (config, ops, inventory, trace, demo):
     cli.add_command(command)
 
 
--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -116,7 +116,7 @@
         if own.handover.enabled and folder and config.address("listen")[1]:
             try:
                 made = Handover(self.loop, Path(folder), config.name, config.listen, config.limits.unsent,
-                                self.gateways, centre.post)
+                                self.gateways, centre.post, self._share)
             except OSError as err:  # a platform that has no place for it: alone, as before
                 log(LOG, logging.WARNING, "handover-off", error=err)
         if made is None or made.owns:
@@ -128,6 +128,10 @@
             centre.sharing.role = Role.SHUT
         return made
 
+    def _share(self, others: int | None) -> None:
+        """Divide descriptors with another process of this worker host."""
+        self.gateways.others, self.store.shared = others, others is not None
+
     def _opened(self, listener: socket.socket | None) -> None:
         """Take clients, beside the process that served so far or after it."""
         self.gateways.listen(listener)
--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from lapispick import interface as api
+from lapispick.handover import budget
 from lapispick.host import core, room
 from lapispick.host.core import BODY_MOST, KB_MOST
 from lapispick.host.logs import log
@@ -328,7 +329,7 @@
         self._sock: socket.socket | None = None
         self.address = "{}:{}".format(*listen)
         self._going: Iterator[Connection] | None = None  # who makes room in this round, in their order
-        self.others = 0  # connections of another process of this worker host, from the same descriptors
+        self.others: int | None = None  # connections of another process of this worker host; None = there is none
 
     @property
     def listening(self) -> bool:
@@ -356,15 +357,16 @@
     def serve(self) -> None:
         """Accept connections until told to close."""
         self.loop.later(SWEEP_S, self._sweep)
-        while self._sock is not None:
-            if self.loop.wait(self._sock.fileno(), READ) and not self._accept(self._sock):
+        while (sock := self._sock) is not None:
+            # The listener may be closed between its wake and our turn.
+            if self.loop.wait(sock.fileno(), READ) and self._sock is sock and not self._accept(sock):
                 self.loop.sleep(0.05)
 
     def _accept(self, listener: socket.socket) -> bool:
         """Accept what waits; False where there is no room just now."""
         self._going = None
         for _ in range(ACCEPTS):
-            if len(self.connections) >= max(self._most // 2, self._most - self.others) and not self._make_room():
+            if len(self.connections) >= budget.connections(self._most, self.others) and not self._make_room():
                 return False
             try:
                 sock, _ = listener.accept()
@@ -426,7 +428,9 @@
 
     def _sweep(self) -> None:
         self.loop.later(SWEEP_S, self._sweep)
-        now = time.monotonic()
+        now, self._going = time.monotonic(), None
+        while len(self.connections) > budget.connections(self._most, self.others) and self._make_room():
+            pass  # another process of this worker host needs a part of the descriptors
         for c in list(self.connections):
             if c.stream.closed or (c.ended and not c.open and not c.stream.unsent):
                 c.close()
--- a/lapispick/host/handover.py
+++ b/lapispick/host/handover.py
@@ -39,12 +39,15 @@
 SERVING, ENDED = b"serving", b"ended"
 
 
+Share = Callable[[int | None], None]  # told how many connections the other process has; None = it is gone
+
+
 class Peer:
     """The link, as the core sees it."""
 
-    def __init__(self, stream: Stream, gateways: Gateways, owns: bool) -> None:
+    def __init__(self, stream: Stream, gateways: Gateways, share: Share, owns: bool) -> None:
         self.stream, self.owns = stream, owns  # owns: the other process has the keys
-        self.serves, self.complete, self._gateways = owns, False, gateways
+        self.serves, self.complete, self._gateways, self._share = owns, False, gateways, share
 
     def send(self, message: say.Message) -> None:
         """Send now what the socket takes; the rest waits, within bounds."""
@@ -60,7 +63,7 @@
 
     def usage(self, told: say.Usage) -> None:
         """Leave the other process its descriptors."""
-        self._gateways.others = told.connections
+        self._share(told.connections)
 
     def whole(self) -> None:
         """Note that the snapshot is complete."""
@@ -75,10 +78,10 @@
     """Finds the other process, takes over from it, and hands over to the next."""
 
     def __init__(self, loop: Loop, folder: Path, name: str, listen: str, unsent: int, gateways: Gateways,
-                 post: Callable[[Any], None]) -> None:
+                 post: Callable[[Any], None], share: Share) -> None:
         """Take the lock or leave it; raises ``OSError`` where the folder has no room for one."""
         self._loop, self._name, self._listen, self._unsent = loop, name, listen, unsent
-        self._gateways, self._post = gateways, post
+        self._gateways, self._post, self._share = gateways, post, share
         stem = blake2b(f"{name} {listen}".encode(), digest_size=8).hexdigest()
         self._folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         self._path = str(folder / f"lapispick-{stem}.sock")
@@ -163,7 +166,7 @@
             log(LOG, logging.WARNING, "link-refused", error=err)
             return stream.close()
         self._passed = True
-        peer = Peer(stream, self._gateways, owns=False)
+        peer = Peer(stream, self._gateways, self._share, owns=False)
         peer.send(say.Welcome(say.VERSION))
         self._begin(peer)
         self._read(peer)
@@ -183,6 +186,7 @@
 
     def _begin(self, peer: Peer) -> None:
         self.peer, self._linked = peer, True
+        self._share(0)
         log(LOG, logging.INFO, "linked", role="follower" if peer.owns else "owner")
         self._post(core.PeerUp(peer, peer.owns))
 
@@ -203,7 +207,8 @@
         except (OSError, Overlong, msgspec.DecodeError) as err:
             log(LOG, logging.WARNING, "link-faulty", error=err)
         peer.stream.close()
-        self.peer, self._gateways.others = None, 0
+        self.peer = None
+        self._share(None)
         log(LOG, logging.INFO if done else logging.WARNING, "link-ended", role="follower" if peer.owns else "owner",
             done=done)
         self._post(core.PeerLost(peer, done or not peer.owns))
@@ -259,7 +264,7 @@
             else:
                 os.close(fds[0])
             say.decode(line)
-            return Peer(stream, self._gateways, owns=True)
+            return Peer(stream, self._gateways, self._share, owns=True)
         except (OSError, Overlong, msgspec.DecodeError) as err:
             log(LOG, logging.WARNING, "link-failed", error=err)
             stream.close()
--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -13,6 +13,7 @@
 
 from greenlet import greenlet
 
+from lapispick.handover import budget
 from lapispick.host import core
 from lapispick.host.logs import log
 from lapispick.host.loop import Closed, Loop, Overlong, Stream, connect
@@ -129,10 +130,15 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], post: Callable[[Any], None], most: int) -> None:
         self._loop, self._address, self._post, self._most = loop, address, post, most
+        self.shared = False  # with another process of this worker host
         self._idle: deque[tuple[float, Stream]] = deque()  # by the time they went idle
         self._busy = 0
         self._sweeping = False
 
+    @property
+    def _bound(self) -> int:
+        return budget.calls(self._most, self.shared)
+
     def call(self, tag: str, body: str, timeout_ms: float, once: bool) -> Ticket:
         """Begin a call with a base64 body; ``once``: it must not be made again unless it never ran."""
         ticket = Ticket(tag, body, timeout_ms, once)
@@ -217,9 +223,9 @@
         if not fresh and not ticket.once and (stream := self._settled()) is not None:
             ticket.reused, stream.received = True, 0
             return stream
-        if self._busy > self._most:
+        if self._busy > self._bound:
             raise OSError("too many calls are out")
-        while self._idle and len(self._idle) + self._busy > self._most:
+        while self._idle and len(self._idle) + self._busy > self._bound:
             self._idle.popleft()[1].close()
         try:
             return connect(self._loop, ticket.address, min(CONNECT_S, ticket.timeout), longest=LONGEST_HEAD,
@@ -243,7 +249,7 @@
         return found
 
     def _keep(self, stream: Stream, address: tuple[str, int] | None) -> None:
-        if address != self._address or len(self._idle) + self._busy >= self._most:
+        if address != self._address or len(self._idle) + self._busy >= self._bound:
             return stream.close()
         if len(self._idle) >= KEEP_MOST:
             self._idle.popleft()[1].close()
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -394,7 +394,8 @@
         try:
             line = until(lambda: re.search(r"event=started .*listen=(\S+)", self.log()), "the start")
             self.at = line.group(1)
-            self.ops = re.search(r"event=started .*ops=(\S+)", self.log()).group(1)
+            found = re.search(r"event=started .*ops=(\S+)", self.log())
+            self.ops = found.group(1) if found else ""  # an earlier version has none
             if ready:
                 self.logged("ready")
         except AssertionError:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -10,7 +10,10 @@
 import uuid
 
 import pytest
+from click.testing import CliRunner
 
+from lapispick.cli.main import cli
+from lapispick.cli.ops import NoAnswer, figures
 from lapispick.host import config
 from lapispick.host.duty import Duty
 from lapispick.standins.peers import INFO, Executor, until
@@ -192,3 +195,31 @@
     path.write_text(json.dumps({**base, "ops": "here"}))
     with pytest.raises(config.ConfigError, match=r"^ops"):
         config.load(told)
+
+
+def test_the_command_line_calls_a_host_and_says_how_it_went(host, tmp_path, monkeypatch):
+    runner, h = CliRunner(), host()
+
+    def lapispick(*words):
+        done = runner.invoke(cli, ["ops", *words])
+        return done.exit_code, done.output
+
+    assert lapispick("check", "--at", h.ops) == (0, "OK\n")
+    monkeypatch.setenv("LB_OPS", h.ops)
+    assert lapispick("drain-on") == (0, "OK\n") and lapispick("drain-off") == (0, "OK\n")
+    assert json.loads(lapispick("vars", "--json")[1])["inflight"] == 0
+    assert "backend_calls" in lapispick("vars")[1] and "yes after" in lapispick("wait")[1]
+    monkeypatch.delenv("LB_OPS")
+    monkeypatch.setenv("LB_CONFIG", str(h.path))
+    h.path.write_text(json.dumps({**h.config, "ops": h.ops}))
+    assert lapispick("check")[0] == 0
+    h.process.kill()
+    h.process.wait()
+    assert lapispick("check")[0] == 3 and lapispick("wait", "--seconds", "0.2")[0] == 1
+    assert lapispick("check", "--at", "here")[0] == 2
+
+
+@pytest.mark.parametrize("lines", [["app.inflight:1|g"], ["app.x:-1|c", "END"], ["app.x|c", "END"], ["END", "x"]])
+def test_figures_that_are_not_whole_are_no_figures(lines):
+    with pytest.raises(NoAnswer):
+        figures(lines)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lapispick.handover import budget
 from lapispick.handover import messages as say
 from lapispick.standins.peers import INFO, Executor, Gateway, until
 
@@ -382,7 +383,7 @@
             time.sleep(rng.random() * 0.05)
         either[victim].process.kill()
         left = new if victim == "old" else old
-        if victim == "new" and "event=leaving" in old.log():  # it was told to go: it ends, and owes nothing
+        if victim == "new" and getattr(old, "told", False):  # it was told to go: it ends, and owes nothing
             assert old.process.wait(4) == 0 and "owed=0" in old.log()
             return check_keys(shops, old, new)
         left.ops = until(lambda: ops_of(left), "the start")
@@ -403,6 +404,57 @@
         return False
     new.ops = at
     with contextlib.suppress(OSError):
-        if new.call() == ["OK"] and "event=leaving" not in old.log():
+        if new.call() == ["OK"] and not getattr(old, "told", False):
+            old.told = True
             old.leave()
     return False
+
+
+def test_an_upgrade_that_is_given_up_hands_back_all_that_the_new_process_had(host, fixed):
+    old = host(listen=fixed(), info=LONG)
+    new = host(beside=old)
+    serving(new)
+    g, key = conn_to(new, old), nonce()
+    n = g.request("book", "hold", key)
+    until(lambda: new.executor.ran("hold"), "the run")
+    new.leave()
+    until(lambda: g.read() and g.away, "goaway")
+    h = old.gateway()
+    again = h.request("book", "hold", key, redo=1)
+    new.executor.end(new.executor.ran("hold")[0][0], result="booked")
+    assert g.result(n) == "booked" and h.result(again) == "booked"
+    assert new.process.wait(4) == 0 and "event=ended owed=0" in new.log()
+    assert h.result(h.request("book", "hold", key, redo=1)) == "booked" and runs_of("hold", old, new) == 1
+    assert h.answer(h.send("probe"))["result"]["healthy"] is True
+    assert not [word for _, word in old.roster.reports if word.endswith("off")]
+
+
+def test_both_processes_together_hold_no_more_connections_than_one_may(host, fixed):
+    old = host(listen=fixed(), info=LONG)
+    most = 256 * 5 // 8
+    crowd = []
+    for _ in range(most):
+        crowd.append(old.gateway())
+        crowd[-1].result(crowd[-1].request("track", "x"))
+    new = host(beside=old)
+    serving(new)
+    name, port = old.at.split(":")
+    crowd += [socket.create_connection((name, int(port))) for _ in range(most)]
+
+    def held():
+        return sum(len(os.listdir(f"/proc/{h.process.pid}/fd")) for h in (old, new))
+
+    until(lambda: held() < 256, "both within the descriptors of one")
+    g = new.gateway()
+    assert g.result(g.request("track", "room")) == "did room" and held() < 256
+    new.process.kill()
+    until(lambda: "event=link-ended" in old.log(), "the end of the link")
+    late = [old.gateway() for _ in range(most)]
+    until(lambda: len(os.listdir(f"/proc/{old.process.pid}/fd")) > most, "all of the room for the one that is left")
+    assert late[-1].result(late[-1].request("track", "last")) == "did last"
+
+
+@pytest.mark.parametrize("others,mine", [(None, 160), (0, 120), (30, 120), (60, 100), (120, 40), (160, 40)])
+def test_descriptors_are_divided_and_neither_process_is_shut_out(others, mine):
+    assert budget.connections(160, others) == mine
+    assert budget.calls(64, others is not None) == (64 if others is None else 32)
