--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -22,7 +22,9 @@
 LOG = "store"
 # s; the store closes idle connections at 10 s, and a call that meets such a close has proved nothing
 KEEP_S = 4.0
-KEEP_MOST = 16  # idle connections; calls that must not be made twice open new ones all the time
+# of the connections; so many may lie idle. One is used again SETTLE_S after its last reply: at 650 calls a second 20
+# are settling at any time, and where fewer are kept each further call pays for a new one
+KEEP_PART = 0.5
 SETTLE_S = 0.03  # s; what may still follow a good reply, and would pass for the next one, has come by then
 CONNECT_S = 1.0  # s; the most for opening a connection
 LONGEST_HEAD = 8192  # bytes of one header line
@@ -251,7 +253,7 @@
     def _keep(self, stream: Stream, address: tuple[str, int] | None) -> None:
         if address != self._address or len(self._idle) + self._busy >= self._bound:
             return stream.close()
-        if len(self._idle) >= KEEP_MOST:
+        if len(self._idle) >= self._bound * KEEP_PART:
             self._idle.popleft()[1].close()
         self._idle.append((time.monotonic(), stream))
         if not self._sweeping:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -292,3 +292,35 @@
         except AssertionError as err:
             raise AssertionError(f"seed {seed}: {err}") from err
     assert runs > 500
+
+
+def test_an_entry_whose_word_is_on_its_way_is_not_taken_out():
+    world, old, new = pair()
+    old.link(new)
+    new.request(NAMES[0], world.now)
+    key = new.table.get(NAMES[0])
+    new.sharing.free(key)
+    pump(old, new)
+    assert new.table.get(NAMES[0]) is key and key.ran == 1
+
+
+def test_doubt_goes_on_with_the_keys():
+    world, old, new = pair()
+    old.sharing.doubt(world.now)
+    old.link(new)
+    pump(old, new)
+    new.sharing.lost(alone=True)
+    world.tried[NAMES[0]] = world.now  # at a process that nobody knows of
+    new.request(NAMES[0], world.now + 1)
+    assert new.answers == {1: "failed"} and not world.runs
+
+
+def test_a_snapshot_that_comes_late_takes_back_nothing_that_was_told_since():
+    world, old, new = pair()
+    old.link(new)
+    old.request(NAMES[0], world.now)
+    old.end(1, "r")
+    pump(old, new)
+    key = new.table.get(NAMES[0])
+    new.sharing.take(say.Known(NAMES[0], key.until, key.what, over=False))
+    assert new.table.get(NAMES[0]).result == "r" and new.table.get(NAMES[0]).over
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,10 +1,11 @@
 """A store whose replies can't be trusted: what is spoilt counts as a call that ran, and nothing leaks on."""
 
+import json
 import uuid
 
 import pytest
 
-from lapispick.standins.peers import SPOILT, until
+from lapispick.standins.peers import INFO, SPOILT, until
 
 REFUSED = -32050
 
@@ -42,3 +43,15 @@
     assert g.result(g.request("book", "call:200", uuid.uuid4().hex)).startswith("reply")
     links = [c[3] for c in h.store.calls]
     assert links.count(links[-1]) == 1  # a write's call has a connection of its own
+
+
+def test_as_many_connections_lie_idle_as_half_of_those_for_calls(host):
+    info = json.loads(json.dumps(INFO))
+    info["FamilyInfo"].update(Cores=40, CallsOut=200.0)
+    h = host(info=info)
+    wave = 28  # over the 16 that were kept once, under half of a quarter of 256
+    for _ in range(3):
+        g = h.gateway()
+        numbers = [g.request("track", "call:late") for _ in range(wave)]
+        assert all(g.result(n).startswith("reply") for n in numbers)
+    assert len(h.store.calls) == 3 * wave and len({c[3] for c in h.store.calls}) == wave
