--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,9 @@
 import pytest
 
 from lapispick import interface as api
+from lapispick.handover import messages as say
+from lapispick.handover.sharing import Role
+from lapispick.handover.table import digest
 from lapispick.host import core
 from lapispick.host.loop import Loop
 from lapispick.settings import Info, settings_from
@@ -158,3 +161,60 @@
     assert dict(answers) == {**{f"t{n}": core.SERVED for n in range(5)}, "again3": core.SERVED,
                              "again4": core.SERVED, **{f"again{n}": core.FAILED for n in range(3)}}
     assert centre.executor.runs == [f"t{n}" for n in range(5)] and centre.table.kept_bytes == 200
+
+
+class Link:
+    """The other process, as far as the core sees it."""
+
+    def __init__(self):
+        self.sent = []
+        self.send = self.sent.append
+
+    def behind(self):
+        return False
+
+    def connections(self):
+        return 0
+
+
+def keyed(event):
+    return [api.KeepKey(event.id, 5000.0), api.Run(event.id)] if type(event) is api.Request else []
+
+
+def test_a_try_given_up_while_it_waited_for_the_word_is_not_begun_and_its_key_is_free(rig):
+    loop, centre = rig(keyed)
+    answers, link = [], Link()
+    asked = request("a", answers, cls=1, key=("k",))
+    centre.post(core.PeerUp(link, owns=True))
+    centre.post(core.Arrived(asked))
+    loop.later(0.02, centre.post, core.GaveUp(asked))
+    loop.later(0.04, lambda: centre.post(core.PeerSaid(link, say.Granted(1, ("k",), link.sent[0].until))))
+    loop.run()
+    assert [type(m) for m in link.sent] == [say.Claim, say.Freed] and not centre.executor.runs and not answers
+    assert not len(centre.table) and not centre._tasks
+    assert centre.control.seen[-2:] == [api.Gone(1), api.RunEnded(1, api.Outcome.CANCELLED, 0.0)]
+
+
+def test_a_try_that_may_not_run_gets_the_other_processs_result_and_teaches_no_time(rig):
+    loop, centre = rig(keyed)
+    answers, link = [], Link()
+    centre.post(core.PeerUp(link, owns=True))
+    centre.post(core.Arrived(request("a", answers, cls=1, key=("k",))))
+    for after, message in ((0.02, say.Claimed(("k",), 6000.0, digest("any", ""))), (0.03, say.Denied(1, ("k",))),
+                           (0.05, say.Over(("k",), "r"))):
+        loop.later(after, centre.post, core.PeerSaid(link, message))
+    loop.run()
+    assert answers == [("a", core.SERVED)] and not centre.executor.runs and not centre._tasks
+    assert centre.control.seen[-2:] == [api.Gone(1), api.RunEnded(1, api.Outcome.CANCELLED, 0.0)]
+
+
+def test_a_word_from_a_link_that_has_ended_counts_no_more(rig):
+    loop, centre = rig(keyed)
+    answers, link, next_link = [], Link(), Link()
+    centre.post(core.PeerUp(link, owns=True))
+    centre.post(core.PeerUp(next_link, owns=True))
+    centre.post(core.Arrived(request("a", answers, cls=1, key=("k",))))
+    loop.later(0.02, centre.post, core.PeerSaid(link, say.Granted(1, ("k",), 1e13)))
+    loop.later(0.03, centre.post, core.PeerLost(link, True))
+    loop.run()
+    assert not centre.executor.runs and centre.sharing.role is Role.FOLLOWER
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -112,6 +112,12 @@
             g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": g.last}}).encode())
         if turn % 100 == 50:
             h.executor.cut()
+        elif turn % 100 == 70:
+            h.call(rng.choice([b"drain-on", b"drain-off"]))
+        elif turn % 100 == 80:
+            for peer in (h.executor, h.store, h.roster):
+                peer.move()
+            h.reload()
         if turn % 30 == 29:  # under the 32 that may be open
             for n in sent:
                 g.answer(n)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,8 @@
 
 from lapispick.handover import budget
 from lapispick.handover import messages as say
-from lapispick.standins.peers import INFO, Executor, Gateway, until
+from lapispick.handover.table import digest
+from lapispick.standins.peers import INFO, Executor, Gateway, b64, until
 
 REFUSED = -32050
 LONG = json.loads(json.dumps(INFO))
@@ -462,3 +463,40 @@
 def test_descriptors_are_divided_and_neither_process_is_shut_out(others, mine):
     assert budget.connections(160, others) == mine
     assert budget.calls(64, others is not None) == (64 if others is None else 32)
+
+
+@pytest.mark.parametrize("tail", [b"", b'{"say":"known","key":["no'])
+def test_a_snapshot_that_is_cut_leaves_doubt_about_what_it_did_not_bring(host, fixed, tmp_path, tail):
+    first = host(listen=fixed(), info=LONG)  # makes the names of the files; then a stand-in takes its place
+    lock, path = locked(tmp_path), str(next(tmp_path.glob("lapispick-*.sock")))
+    first.process.kill()
+    first.process.wait()
+    os.unlink(path)
+    known, unknown = nonce(), nonce()
+    name, port = first.at.split(":")
+    with lock.open("r+b") as held, socket.socket(socket.AF_UNIX) as sock, socket.socket() as clients:
+        fcntl.flock(held, fcntl.LOCK_EX)
+        clients.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        clients.bind((name, int(port)))
+        clients.listen()
+        queued = Gateway(first.at)  # queued at the old process's socket, and read by nobody so far
+        n, doubtful = queued.request("track", "first", patience=9000), queued.request("book", "late", nonce())
+        sock.bind(path)
+        sock.listen()
+        new = host(beside=first, started=False)
+        link, _ = sock.accept()
+        assert isinstance(say.decode(link.recv(1000).strip()), say.Hello)
+        socket.send_fds(link, [b"\n"], [clients.fileno()])
+        told = [say.Welcome(say.VERSION), say.Doubt(0.0),
+                say.Known(("nonce", known), time.time() * 1000 + 60_000, digest("book", b64("ran")), True, b64("kept"))]
+        link.sendall(b"".join(map(say.encode, told)) + tail)
+        link.close()
+        fcntl.flock(held, fcntl.LOCK_UN)
+    new.ops = until(lambda: ops_of(new), "the start")
+    serving(new)
+    # The write came before the old process ended, which may have read a second copy of it.
+    assert queued.result(n) == "did first" and queued.code(doubtful) != REFUSED and not new.executor.ran("late")
+    g = new.gateway()
+    assert g.result(g.request("book", "ran", known, redo=1)) == "kept"
+    assert g.code(g.request("book", "other", unknown, redo=1)) != REFUSED
+    assert not new.executor.ran("ran") and not new.executor.ran("other")
