Tell how far the clocks of boxes are apart from the retries that their traces share

Need: traces of several boxes can't be laid side by side while their clocks disagree, and subjects were digested under a secret of each life, so that no two traces named the same one.

Design: trace/clocks.py, no I/O: a try refused or failed at one box and its subject served at another bounds the difference of their clocks from one side, the other way from the other side; low quantiles, slices of time for the drift, a path of least error for boxes that never met; 'cannot tell' where there are no pairs, one way only, too few, or a clock was set. `trace clocks`, `subject-key` with checks.

--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -1,6 +1,6 @@
 """Traces: a long one made by the real module, its size and speed against gzipped JSON lines, and the recorder's cost.
 
-    python -m benchmarks.trace [file] [recorder]
+    python -m benchmarks.trace [file] [recorder] [clocks]
 
 ``file`` drives the module with seeded arrivals on a clock of its own (aim: an hour at 130 a second; MINUTES sets
 less). ``recorder`` compares a host with the recorder on and off in turns.
@@ -28,6 +28,7 @@
 from lapispick.settings import Info, settings_from
 from lapispick.standins.peers import INFO
 from lapispick.trace import files, folding, replaying
+from lapispick.trace.clocks import Clock, Try, estimate, ways
 from lapispick.trace.kinds import Answered, Arrival, Step
 
 SEED, RATE = 7, 130.0  # requests a second
@@ -140,9 +141,44 @@
         ratio(found["off"], found["on"]))])
 
 
+def clocks(seeds: int = 50, apart: float = 1000.0, drift: float = 50e-6) -> None:
+    """Compare the estimate of a clock with the plain mean of both ways, by the number of shared retries in an hour."""
+    rows = []
+    for count in (20, 50, 200, 1000):
+        ours, plain, held = [], [], 0
+        for seed in range(seeds):
+            rng, tries = random.Random(seed), []
+            for n in range(count):
+                at = rng.uniform(0, 3_600_000)
+                # One way in five is slow: the gateway paused, or went to another box in between.
+                took = 1 + rng.expovariate(1 / 4) + (rng.uniform(0, 2000) if rng.random() < 0.2 else 0)
+                shown = {"a": lambda t: t, "b": lambda t: t * (1 + drift) + apart}
+                first, then = rng.sample(sorted(shown), 2)
+                subject = b"%06d" % n
+                tries += [Try(subject, first, shown[first](at - 20), shown[first](at), False),
+                          Try(subject, then, shown[then](at + took), shown[then](at + took + 30), True)]
+            reference, found = estimate(tries, shown)
+            other = "b" if reference == "a" else "a"
+            clock, middle = found[other], 1_800_000.0
+            truth = shown[other](middle) - shown[reference](middle)
+            if isinstance(clock, Clock):
+                ours.append(abs(clock.ahead(shown[reference](middle)) - truth))
+                held += ours[-1] <= clock.error + 1
+            met = ways(tries)
+            both = [statistics.mean(d for _, d in met[a, b]) for a, b in ((reference, other), (other, reference))]
+            plain.append(abs((both[0] - both[1]) / 2 - truth))
+        rows.append((count, f"{len(ours)} of {seeds}", f"{statistics.median(ours):.1f}", f"{max(ours):.1f}",
+                     f"{held} of {len(ours)}", f"{statistics.median(plain):.1f}",
+                     f"{statistics.median(ours) / statistics.median(plain):.3f}"))
+    show("clocks a second apart that drift by 50 parts in a million: how far the estimate is off, ms", (
+        "retries", "told", "median", "worst", "within its error", "mean of both ways", "ratio"), rows)
+
+
 def main() -> None:
     """Run the parts that are named, by default all."""
     words = sys.argv[1:]
+    if not words or "clocks" in words:
+        clocks()
     if not words or "file" in words:
         file(float(os.environ.get("MINUTES", "60")))
     if not words or "recorder" in words:
--- a/lapispick/cli/trace.py
+++ b/lapispick/cli/trace.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from lapispick.cli.output import DIFFERS, FAULTY, as_json, complain, say, table
-from lapispick.trace import files, folding, replaying
+from lapispick.trace import files, folding, meetings, replaying
+from lapispick.trace.clocks import Unknown, estimate
 from lapispick.trace.files import Reader
 from lapispick.trace.helper import OPEN, SUFFIX, module_digest
 from lapispick.trace.kinds import Step
@@ -166,6 +167,29 @@
     sys.exit(DIFFERS if made.differing else 0)
 
 
+@trace.command()
+@PATHS
+@JSON
+def clocks(paths: tuple[Path, ...], json_: bool) -> None:
+    """Tell how far the boxes' clocks are apart, from subjects that were tried at several.
+
+    The boxes need one `subject-key`. Ends with 1 where something cannot be told.
+    """
+    readers = _readers(paths)
+    met = (one for r in readers for one in meetings.tries(r.header.box, _whole(r)))
+    reference, found = estimate(met, {r.header.box for r in readers})
+    unknown = [box for box, clock in found.items() if isinstance(clock, Unknown)]
+    if json_:
+        as_json({"reference": reference, "clocks": {
+            box: {"why": c.why} if isinstance(c, Unknown) else msgspec.to_builtins(c) for box, c in found.items()}})
+    else:
+        table(f"clocks against {reference}", ("box", "ahead, ms", "gains, ms a s", "within, ms", "pairs", ""), (
+            (box, "", "", "", "", c.why) if isinstance(c, Unknown) else
+            (box, f"{c.offset:.1f}", f"{c.drift:.3f}" if c.drift_told else "not told", f"{c.error:.1f}", c.pairs,
+             "the reference" if box == reference else "") for box, c in found.items()))
+    sys.exit(DIFFERS if unknown else 0)
+
+
 @trace.command()
 @PATHS
 @JSON
--- a/lapispick/conf/settings.py
+++ b/lapispick/conf/settings.py
@@ -17,6 +17,7 @@
 CONF_FILE = "deploy/lapispick.conf"  # from the root, where the program is started
 VARIABLE = "LAPISPICK_CONF"
 SIZE_MOST = 1 << 20  # bytes of one settings file
+KEY_LEAST, KEY_MOST = 16, 64  # bytes of a secret for subjects; as many as the digest takes
 
 
 def _of(kind: Any, doc: str, low: float | None = None, high: float | None = None, **more: Any) -> Directive:
@@ -73,6 +74,8 @@
     rotate_age: Annotated[float, _of(kinds.span, "of a file, then the next one begins", 1)] = 3600.0
     keep_size: Annotated[int, _of(kinds.size, "of all files; the oldest go", 64 << 10)] = 1 << 30
     keep_age: Annotated[float, _of(kinds.span, "of a file; older ones go", 1)] = 7 * 86_400.0
+    subject_key: Annotated[PurePath | None, _of(kinds.path, "a secret that boxes share, to compare their traces")] \
+        = None
     sync: Annotated[str, _of(kinds.text, "when the disk must have it", choices=("no", "file", "block"))] = "file"
 
 
@@ -157,6 +160,12 @@
         faults.add(place, "enabled", "needs a path in section inventory")
     if made.trace.enabled and made.trace.folder is None:
         faults.add(places.get("trace", place), "enabled", "needs a folder in section trace")
+    if made.trace.enabled and made.trace.subject_key is not None:
+        try:
+            if not KEY_LEAST <= Path(made.trace.subject_key).stat().st_size <= KEY_MOST:
+                faults.add(places["trace"], "subject-key", f"must hold {KEY_LEAST} to {KEY_MOST} bytes")
+        except OSError as err:
+            faults.add(places["trace"], "subject-key", f"{made.trace.subject_key}: {err.strerror}")
     kept = made.inventory
     if kept.settle > kept.settle_most:
         faults.add(places.get("inventory", place), "settle-most", "must not be under settle")
--- a/lapispick/host/recorder.py
+++ b/lapispick/host/recorder.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from hashlib import blake2b
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -36,7 +37,9 @@
 
     def __init__(self, loop: Loop, settings: Trace, name: str, info: Info) -> None:
         self._loop, self._settings, self._name, self._info = loop, settings, name, info
-        self._salt = os.urandom(16)  # subjects of one life can be told apart, and not guessed from a trace
+        # Subjects of one life can be told apart, and not guessed from a trace; with a shared key, those of all boxes.
+        key = settings.subject_key
+        self._salt = os.urandom(16) if key is None else Path(key).read_bytes()
         self._encode = msgspec.msgpack.Encoder().encode
         self._waiting: list[tuple[Any, ...]] = []
         self._lost = 0
