Let a read wait for room for its call as long as two calls last, behind the writes

Change: such a read waits in a line of its own, behind writes, for two usual calls; then it goes without, as before.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -82,6 +82,7 @@
 LOST_RECENT = 0.05  # part of a call; memory of the share of calls with no usable reply
 LOST_LEAST = 0.0005  # of the calls; ninety calls after a lost reply none is given up early any more
 LOST_ROOM = 0.25  # of the calls; fewer lost replies say nothing about how crowded the dependency is
+ROOM_WAIT = 2.0  # times the usual or recent time of a call; a burst ends with the calls that it made
 CALL_PAUSE_MS = 60.0  # ms; before a call that was turned away is made again
 
 
@@ -232,13 +233,15 @@
     would keep it at its floor until the usual time has followed.
     """
 
-    __slots__ = ("limit", "lost", "mean", "others", "out", "recent", "settings", "since", "usual", "waiting")
+    __slots__ = ("hopeful", "limit", "lost", "mean", "others", "out", "recent", "settings", "since", "usual",
+                 "waiting")
 
     def __init__(self, settings: Settings, now: float) -> None:
         self.settings, self.since, self.limit = settings, now, settings.calls_out * CALLS_PART
         self.out, self.mean, self.recent, self.usual = 0, 0.0, 0.0, 0.0  # the last two: times of a call
         self.lost = self.others = 0.0  # others: calls of another process of this server
         self.waiting: list[tuple[float, int, Entry]] = []  # not before, id
+        self.hopeful: deque[Entry] = deque()  # those that can go without one and wait for room a little
 
     def advance(self, now: float) -> None:
         """Carry the mean of calls in hand forward."""
@@ -270,6 +273,10 @@
         usual = max(CALL_PATIENCE_MS, CALL_PATIENCE * max(self.usual, self.recent))
         return usual if self.lost > LOST_LEAST else inf
 
+    def worth_waiting(self, since: float, now: float) -> bool:
+        """Tell whether a call that can be left out still waits for room: bursts end as soon as calls do."""
+        return now - since < ROOM_WAIT * max(self.usual, self.recent)
+
     def longest(self) -> float:
         """How long a call may last: one that hangs would go far past a share under one call."""
         return CALL_MOST * self.settings.calls_out * self.settings.calls_window_ms / max(1, self.out) or inf
@@ -709,7 +716,10 @@
             return
         skips = self.s.classes[r.cls].skip_worth > 0
         spare = (r.aim_at if self.now < r.aim_at else r.due_at) - self.now - REST_PART * self.est.core(r)
-        if skips and (spare < CALL_LEAST * self.est.calls[r.cls] or not self.calls.room()):
+        late = spare < CALL_LEAST * self.est.calls[r.cls]
+        if skips and not late and not self.calls.room() and self.calls.worth_waiting(r.needed, self.now):
+            self.calls.hopeful.append(r)
+        elif skips and (late or not self.calls.room()):
             self._resume(r, GoWithout(r.id))
         elif not self.calls.room():
             self._binds("calls")
@@ -749,6 +759,12 @@
             self._fail(r)
 
     def _waiting_calls(self) -> None:
+        self._writes_waiting()
+        hopeful = self.calls.hopeful
+        while hopeful and (self.calls.room() or not self.calls.worth_waiting(hopeful[0].needed, self.now)):
+            self._try_call(hopeful.popleft())
+
+    def _writes_waiting(self) -> None:
         waiting = self.calls.waiting
         while waiting and waiting[0][0] <= self.now:
             r = waiting[0][2]
--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -19,7 +19,7 @@
 from lapispick.host import core, room
 from lapispick.host.core import BODY_MOST, KB_MOST
 from lapispick.host.logs import log
-from lapispick.host.loop import READ, Loop, Overlong, Stream
+from lapispick.host.loop import READ, Loop, Overlong, Stream, readable
 from lapispick.settings import Info
 
 LOG = "clients"
@@ -366,8 +366,11 @@
         """Accept what waits; False where there is no room just now."""
         self._going = None
         for _ in range(ACCEPTS):
-            if len(self.connections) >= budget.connections(self._most, self.others) and not self._make_room():
-                return False
+            if len(self.connections) >= budget.connections(self._most, self.others):
+                if not readable(listener):  # nobody waits, so nobody has to go
+                    break
+                if not self._make_room():
+                    return False
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -374,6 +374,13 @@
             self.sock.close()
 
 
+def readable(sock: socket.socket) -> bool:
+    """Tell whether a socket can be read, or a listener accepted from, without waiting."""
+    poll = select.poll()
+    poll.register(sock.fileno(), READ)
+    return bool(poll.poll(0))
+
+
 def address(text: str, least: int = 1) -> tuple[str, int]:
     """Split ``IP:port``; raises ``ValueError``. A name would have to be looked up, which stops the loop."""
     host, colon, port = text.rpartition(":")
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -3,15 +3,20 @@
 import contextlib
 import itertools
 import random
+import select
 import socket
 import threading
 import time
 
+import msgspec
 import pytest
 
 from lapispick.host import room
+from lapispick.host.clients import Gateways
+from lapispick.host.loop import Loop
 from lapispick.host.room import FIRST_S, QUIET_S, Standing
-from lapispick.standins.peers import Executor, Store, Trickle, until
+from lapispick.settings import Info, settings_from
+from lapispick.standins.peers import INFO, Executor, Store, Trickle, until
 
 NEW = Standing(since=0.0, used_at=0.0, heard_at=0.0, pieces=1, begun_at=0.0, open=False, served=False, at_fault=False)
 
@@ -42,6 +47,46 @@
     assert 2.0 < FIRST_S < 3.0 - 0.5 and max(QUIET_S) < FIRST_S  # true requests take 2 s, bad clients are owed 3 s
 
 
+@pytest.fixture
+def front():
+    """A front that nobody reads for, and a client's connection to it."""
+    info = msgspec.convert(INFO, Info)
+    made = Gateways(Loop(), ("127.0.0.1", 0), info, settings_from(info), 2, lambda item: None, lambda: None)
+    made.listen()
+    name, port = made.address.split(":")
+    clients = []
+
+    def connect():
+        clients.append(socket.create_connection((name, int(port))))
+        select.select([made.fileno()], [], [], 5)
+        made._accept(made._sock)
+        return clients[-1]
+
+    made.client = connect
+    yield made
+    for each in clients:
+        each.close()
+
+
+def test_bytes_that_wait_in_the_system_keep_a_connection(front):
+    first = front.client()
+    first.sendall(b"{")
+    (kept,) = front.connections
+    select.select([kept.stream.sock], [], [], 5)
+    front._going = None
+    assert not front._make_room() and not kept.stream.closed
+    front.client()
+    silent = next(c for c in front.connections if c is not kept)
+    front._going = None
+    assert front._make_room() and silent.stream.closed and not kept.stream.closed
+
+
+def test_a_listener_that_is_closed_between_its_wake_and_its_turn_is_let_be(front):
+    front.loop.wait = lambda fd, event: front.close_listener(passed=True) is None
+    front.serve()
+    assert not front.listening
+
+
 def slowly(h, line, span, pieces=9):
     """Write a line in pieces over a span on a connection of its own."""
     g = h.gateway()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,10 +1,11 @@
 """The scheduler by itself: what one part does wrong costs that part only."""
 
+import socket
 import time
 
 from lapispick.host.core import Diagnosed
 from lapispick.host.executor import ExecutorLink
-from lapispick.host.loop import Loop, Queue
+from lapispick.host.loop import READ, Loop, Queue
 
 
 def test_faults_of_greenlets_and_timers_leave_the_rest_running():
@@ -57,3 +58,29 @@
     link = ExecutorLink(loop, ("127.0.0.1", 1), posted.append)
     nonce = link.diagnose()
     assert posted == [Diagnosed(nonce, False)]
+
+
+def test_urgent_sockets_wait_for_one_call_and_not_for_the_round():
+    loop, done, seen = Loop(), [], []
+    ours, theirs = socket.socketpair()
+
+    def urgent():
+        loop.wait(ours.fileno(), READ, urgent=True)
+        seen.append(len(done))
+
+    def busy():
+        time.sleep(0.002)
+        done.append(1)
+
+    def all_at_once():
+        theirs.send(b"x")
+        for _ in range(200):
+            loop.soon(busy)
+
+    loop.spawn(urgent)
+    loop.later(0.01, all_at_once)
+    loop.later(1.0, loop.stop)
+    loop.run()
+    ours.close()
+    theirs.close()
+    assert len(done) == 200 and seen[0] < 50  # a round is cut after 20 ms
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import os
 import random
 import socket
 import threading
@@ -60,6 +61,7 @@
             each.sendall(b"va")
     assert h.call() == ["OK"] and h.figures()["inflight"] == 0
     assert time.monotonic() - began < 1
+    assert len(os.listdir(f"/proc/{h.process.pid}/fd")) < 30  # 8 of them at most, of 256 descriptors
     for each in crowd:
         each.settimeout(3.5)
         with contextlib.suppress(ConnectionError):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -283,6 +283,18 @@
     assert g.result(g.request("book", "later", nonce(), redo=1)) == "did later"
 
 
+def test_what_a_process_ran_that_ended_in_order_is_in_doubt_for_its_window(host, fixed):
+    old = host(listen=fixed(), info=LONG)
+    g, key = old.gateway(), nonce()
+    assert g.result(g.request("book", "ran", key)) == "did ran"
+    old.leave()
+    assert old.process.wait(5) == 0
+    new = host(beside=old)
+    g = new.gateway()
+    assert g.code(g.request("book", "ran", key, redo=1)) != REFUSED and not new.executor.ran("ran")
+    assert g.result(g.request("book", "first", nonce())) == "did first"
+
+
 def test_another_version_is_refused_plainly_and_no_key_runs_until_it_has_gone(host, fixed, tmp_path):
     old = host(listen=fixed(), info=LONG)
     lock, path = locked(tmp_path), str(next(tmp_path.glob("lapispick-*.sock")))
@@ -450,6 +462,7 @@
         return sum(len(os.listdir(f"/proc/{h.process.pid}/fd")) for h in (old, new))
 
     until(lambda: held() < 256, "both within the descriptors of one")
+    until(lambda: len(os.listdir(f"/proc/{old.process.pid}/fd")) < most, "the old one gives a part of its room")
     g = new.gateway()
     assert g.result(g.request("track", "room")) == "did room" and held() < 256
     new.process.kill()
