Test that a process which hands over accepts nobody and ends before it would be killed

Two lines of host/__main__.py could be taken out without a failing test: the closing of the listener and the bound of the leave. The test holds one request open at the old process, asks forty times on new connections, and lets the held run never end: all forty reach the new process, and the old one fails the rest and ends within 3.7 s.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -513,3 +513,22 @@
     assert g.result(g.request("book", "ran", known, redo=1)) == "kept"
     assert g.code(g.request("book", "other", unknown, redo=1)) != REFUSED
     assert not new.executor.ran("ran") and not new.executor.ran("other")
+
+
+def test_the_old_process_accepts_nobody_any_more_once_it_hands_over(host, fixed):
+    old = host(listen=fixed(), info=LONG, stop_ms=9000)
+    g = old.gateway()
+    held = g.request("track", "hold", patience=9000)
+    until(lambda: old.executor.ran("hold"), "the run")
+    new = host(beside=old)
+    serving(new)
+    old.leave()
+    until(lambda: "event=leaving" in old.log(), "the leave")
+    until(lambda: g.read() and g.away, "goaway")
+    for n in range(40):
+        late = new.gateway()
+        assert late.result(late.request("track", f"late{n}")) == f"did late{n}" and not late.away
+    assert len([run for run in new.executor.runs if run[2].startswith("late")]) == 40
+    began = time.monotonic()  # nothing ends the run: it is failed and the process ends before it would be killed
+    assert g.code(held) != REFUSED and old.process.wait(6) == 0
+    assert time.monotonic() - began < 3.7 and "owed=0" in old.log()
