--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import os
 import random
 import socket
 import threading
@@ -60,6 +61,7 @@
             each.sendall(b"va")
     assert h.call() == ["OK"] and h.figures()["inflight"] == 0
     assert time.monotonic() - began < 1
+    assert len(os.listdir(f"/proc/{h.process.pid}/fd")) < 30  # 8 of them at most, of 256 descriptors
     for each in crowd:
         each.settimeout(3.5)
         with contextlib.suppress(ConnectionError):
@@ -112,6 +114,12 @@
             g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": g.last}}).encode())
         if turn % 100 == 50:
             h.executor.cut()
+        elif turn % 100 == 70:
+            h.call(rng.choice([b"drain-on", b"drain-off"]))
+        elif turn % 100 == 80:
+            for peer in (h.executor, h.store, h.roster):
+                peer.move()
+            h.reload()
         if turn % 30 == 29:  # under the 32 that may be open
             for n in sent:
                 g.answer(n)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,8 @@
 
 from lapispick.handover import budget
 from lapispick.handover import messages as say
-from lapispick.standins.peers import INFO, Executor, Gateway, until
+from lapispick.handover.table import digest
+from lapispick.standins.peers import INFO, Executor, Gateway, b64, until
 
 REFUSED = -32050
 LONG = json.loads(json.dumps(INFO))
@@ -282,6 +283,18 @@
     assert g.result(g.request("book", "later", nonce(), redo=1)) == "did later"
 
 
+def test_what_a_process_ran_that_ended_in_order_is_in_doubt_for_its_window(host, fixed):
+    old = host(listen=fixed(), info=LONG)
+    g, key = old.gateway(), nonce()
+    assert g.result(g.request("book", "ran", key)) == "did ran"
+    old.leave()
+    assert old.process.wait(5) == 0
+    new = host(beside=old)
+    g = new.gateway()
+    assert g.code(g.request("book", "ran", key, redo=1)) != REFUSED and not new.executor.ran("ran")
+    assert g.result(g.request("book", "first", nonce())) == "did first"
+
+
 def test_another_version_is_refused_plainly_and_no_key_runs_until_it_has_gone(host, fixed, tmp_path):
     old = host(listen=fixed(), info=LONG)
     lock, path = locked(tmp_path), str(next(tmp_path.glob("lapispick-*.sock")))
@@ -449,6 +462,7 @@
         return sum(len(os.listdir(f"/proc/{h.process.pid}/fd")) for h in (old, new))
 
     until(lambda: held() < 256, "both within the descriptors of one")
+    until(lambda: len(os.listdir(f"/proc/{old.process.pid}/fd")) < most, "the old one gives a part of its room")
     g = new.gateway()
     assert g.result(g.request("track", "room")) == "did room" and held() < 256
     new.process.kill()
@@ -462,3 +476,59 @@
 def test_descriptors_are_divided_and_neither_process_is_shut_out(others, mine):
     assert budget.connections(160, others) == mine
     assert budget.calls(64, others is not None) == (64 if others is None else 32)
+
+
+@pytest.mark.parametrize("tail", [b"", b'{"say":"known","key":["no'])
+def test_a_snapshot_that_is_cut_leaves_doubt_about_what_it_did_not_bring(host, fixed, tmp_path, tail):
+    first = host(listen=fixed(), info=LONG)  # makes the names of the files; then a stand-in takes its place
+    lock, path = locked(tmp_path), str(next(tmp_path.glob("lapispick-*.sock")))
+    first.process.kill()
+    first.process.wait()
+    os.unlink(path)
+    known, unknown = nonce(), nonce()
+    name, port = first.at.split(":")
+    with lock.open("r+b") as held, socket.socket(socket.AF_UNIX) as sock, socket.socket() as clients:
+        fcntl.flock(held, fcntl.LOCK_EX)
+        clients.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        clients.bind((name, int(port)))
+        clients.listen()
+        queued = Gateway(first.at)  # queued at the old process's socket, and read by nobody so far
+        n, doubtful = queued.request("track", "first", patience=9000), queued.request("book", "late", nonce())
+        sock.bind(path)
+        sock.listen()
+        new = host(beside=first, started=False)
+        link, _ = sock.accept()
+        assert isinstance(say.decode(link.recv(1000).strip()), say.Hello)
+        socket.send_fds(link, [b"\n"], [clients.fileno()])
+        told = [say.Welcome(say.VERSION), say.Doubt(0.0),
+                say.Known(("nonce", known), time.time() * 1000 + 60_000, digest("book", b64("ran")), True, b64("kept"))]
+        link.sendall(b"".join(map(say.encode, told)) + tail)
+        link.close()
+        fcntl.flock(held, fcntl.LOCK_UN)
+    new.ops = until(lambda: ops_of(new), "the start")
+    serving(new)
+    # The write came before the old process ended, which may have read a second copy of it.
+    assert queued.result(n) == "did first" and queued.code(doubtful) != REFUSED and not new.executor.ran("late")
+    g = new.gateway()
+    assert g.result(g.request("book", "ran", known, redo=1)) == "kept"
+    assert g.code(g.request("book", "other", unknown, redo=1)) != REFUSED
+    assert not new.executor.ran("ran") and not new.executor.ran("other")
+
+
+def test_the_old_process_accepts_nobody_any_more_once_it_hands_over(host, fixed):
+    old = host(listen=fixed(), info=LONG, stop_ms=9000)
+    g = old.gateway()
+    held = g.request("track", "hold", patience=9000)
+    until(lambda: old.executor.ran("hold"), "the run")
+    new = host(beside=old)
+    serving(new)
+    old.leave()
+    until(lambda: "event=leaving" in old.log(), "the leave")
+    until(lambda: g.read() and g.away, "goaway")
+    for n in range(40):
+        late = new.gateway()
+        assert late.result(late.request("track", f"late{n}")) == f"did late{n}" and not late.away
+    assert len([run for run in new.executor.runs if run[2].startswith("late")]) == 40
+    began = time.monotonic()  # nothing ends the run: it is failed and the process ends before it would be killed
+    assert g.code(held) != REFUSED and old.process.wait(6) == 0
+    assert time.monotonic() - began < 3.7 and "owed=0" in old.log()
