--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -83,6 +83,7 @@
 
 def test_a_listener_that_is_closed_between_its_wake_and_its_turn_is_let_be(front):
     front.loop.wait = lambda fd, event: front.close_listener(passed=True) is None
+    front._accept = lambda sock: pytest.fail("a closed listener was asked")
     front.serve()
     assert not front.listening
 
