Let a process say at each link whether it takes clients, and by which socket

Seen on reading the change again: `serving` went out once, when the new process opened. One that links a second time, or that took clients after 3 s without a link, never said it: the old process would have left as without a successor (bad health, `off`), and where the new one had opened a socket of its own, the old one would still have dropped its listener unread.

--- a/lapispick/handover/messages.py
+++ b/lapispick/handover/messages.py
@@ -19,11 +19,15 @@
 
 
 class Hello(Message, tag="hello"):
-    """The new process asks to be linked."""
+    """The new process asks to be linked.
+
+    ``listens``: how it takes clients already, by a socket of its ``own`` or the one ``passed`` before; empty = not yet.
+    """
 
     version: int
     name: str
     listen: str
+    listens: str = ""
 
 
 class Welcome(Message, tag="welcome"):
--- a/lapispick/host/handover.py
+++ b/lapispick/host/handover.py
@@ -93,6 +93,7 @@
         self.peer: Peer | None = None
         self._linked = False  # ever
         self._listener: socket.socket | None = None  # from the process before
+        self._listens = ""  # how this process takes clients beside the one before it, as in ``say.Hello``
         self._passed = False  # the other process has the listening socket
         self.owns = self._try_lock()
 
@@ -165,8 +166,10 @@
         except (OSError, Overlong, msgspec.DecodeError) as err:  # TimeoutError among them
             log(LOG, logging.WARNING, "link-refused", error=err)
             return stream.close()
-        self._passed = True
+        # A successor that had to open a socket of its own never accepts from ours: what waits there is ours to read.
+        self._passed = hello.listens != "own"
         peer = Peer(stream, self._gateways, self._share, owns=False)
+        peer.serves = bool(hello.listens)
         peer.send(say.Welcome(say.VERSION))
         self._begin(peer)
         self._read(peer)
@@ -241,6 +244,7 @@
             self._loop.sleep(RETRY_S / 5)
         if not self.owns and not (self.peer is not None and self.peer.complete):
             log(LOG, logging.WARNING, "serving-unlinked")
+        self._listens = "own" if self._listener is None else "passed"
         opened(self._listener)
         if self.peer is not None:
             self.peer.send(say.Serving())
@@ -251,7 +255,7 @@
         stream = self._stream(sock)
         try:
             sock.connect(self._path)
-            stream.write(say.encode(say.Hello(say.VERSION, self._name, self._listen)))
+            stream.write(say.encode(say.Hello(say.VERSION, self._name, self._listen, self._listens)))
             if not self._loop.wait(sock.fileno(), READ, HELLO_S):
                 raise TimeoutError("no answer")
             first, fds, _, _ = socket.recv_fds(sock, 1, 1)
@@ -259,7 +263,7 @@
             if not fds or line is None:
                 why = say.decode(first + line) if first and line else None
                 raise ConnectionError(why.why if isinstance(why, say.No) else "no answer")
-            if self._listener is None:
+            if self._listener is None and not self._listens:
                 self._listener = socket.socket(fileno=fds[0])
             else:
                 os.close(fds[0])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -532,3 +532,93 @@
     began = time.monotonic()  # nothing ends the run: it is failed and the process ends before it would be killed
     assert g.code(held) != REFUSED and old.process.wait(6) == 0
     assert time.monotonic() - began < 3.7 and "owed=0" in old.log()
+
+
+class Owner:
+    """A stand-in of the old process: it holds the lock and the clients' socket, and agrees or refuses as told."""
+
+    def __init__(self, folder, at):
+        self.file = locked(folder).open("r+b")
+        fcntl.flock(self.file, fcntl.LOCK_EX)
+        name, port = at.split(":")
+        self.clients = socket.socket()
+        self.clients.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.clients.bind((name, int(port)))
+        self.clients.listen()
+        path = str(next(folder.glob("lapispick-*.sock")))
+        os.unlink(path)
+        self.sock = socket.socket(socket.AF_UNIX)
+        self.sock.bind(path)
+        self.sock.listen(16)
+        self.sock.settimeout(10)
+
+    def refuse(self):
+        link, _ = self.sock.accept()
+        link.recv(1000)
+        link.sendall(say.encode(say.No("not now")))
+        link.close()
+
+    def agree(self):
+        """Link the new process; return the link, what it greeted with, and its further lines."""
+        link, _ = self.sock.accept()
+        lines = link.makefile("rb")
+        hello = say.decode(lines.readline())
+        socket.send_fds(link, [b"\n"], [self.clients.fileno()])
+        link.sendall(b"".join(map(say.encode, (say.Welcome(say.VERSION), say.Doubt(0.0), say.Whole()))))
+        return link, hello, lines
+
+    def close(self):
+        for each in (self.sock, self.clients, self.file):
+            each.close()
+
+
+def test_a_process_that_links_again_says_that_it_serves_and_by_which_socket(host, fixed, tmp_path):
+    first = host(listen=fixed(), info=LONG)
+    first.process.kill()
+    first.process.wait()
+    owner = Owner(tmp_path, first.at)
+    try:
+        new = host(beside=first, started=False)
+        link, hello, lines = owner.agree()
+        assert hello.listens == ""
+        assert any(isinstance(say.decode(line), say.Serving) for line in lines)
+        link.shutdown(socket.SHUT_RDWR)  # the link alone breaks
+        _, hello, _ = owner.agree()
+        assert hello.listens == "passed"
+        new.process.kill()
+    finally:
+        owner.close()
+
+
+def test_a_process_that_served_unlinked_says_that_its_socket_is_its_own(host, fixed, tmp_path):
+    first = host(listen=fixed(), info=LONG)
+    first.process.kill()
+    first.process.wait()
+    owner = Owner(tmp_path, first.at)
+    try:
+        new = host(beside=first, started=False)
+        while "event=serving-unlinked" not in new.log():
+            owner.refuse()
+        _, hello, _ = owner.agree()
+        assert hello.listens == "own"
+    finally:
+        owner.close()
+
+
+@pytest.mark.parametrize("listens", ["own", "passed", ""])
+def test_an_old_process_believes_what_its_successor_says_of_itself(host, fixed, tmp_path, listens):
+    old = host(listen=fixed(), info=LONG, stop_ms=2000)
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.connect(str(next(tmp_path.glob("lapispick-*.sock"))))
+        sock.sendall(say.encode(say.Hello(say.VERSION, "n3", old.config["listen"], listens)))
+        _, fds, _, _ = socket.recv_fds(sock, 1, 1)
+        until(lambda: "event=linked" in old.log(), "the link")
+        waits = [Gateway(old.at) for _ in range(3)]
+        numbers = [g.request("track", "queued") for g in waits]
+        old.leave()
+        until(lambda: "event=leaving" in old.log(), "the leave")
+        assert f"handed={bool(listens)}" in old.log()
+        for g, n in zip(waits, numbers, strict=True):
+            assert g.result(n) == "did queued"
+        assert old.process.wait(5) == 0
+        os.close(fds[0])
