Start a trace's writer again when it ends, and record what an upgrade takes over

A writer that was killed was not started again, and nobody could say how many steps went with it. With a recorder on, an upgrade did not take over what the old process had learned, as the trace would not have replayed.

The writer now says how many steps stand in whole blocks. When it ends, the host counts what it handed over and was not written, starts another one after 1 s (doubled up to 60 s while it writes nothing), and the next file of the same life begins with that gap. What waits for the writer is bounded by a 64th of `limits.memory_mb` too. What the module adopts is a note of its step, and a replay adopts it there.

A limit on the writer's file size (as a full disk) costs steps, no answer. In an upgrade the new process's trace replays step by step, and differs without the note.

--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -84,7 +84,8 @@
         if own.trace.enabled:
             from lapispick.host.recorder import Recorder
 
-            self.recorder = centre.recorder = Recorder(loop, own.trace, config.name, config.settings)
+            self.recorder = centre.recorder = Recorder(
+                loop, own.trace, config.name, config.settings, config.limits.memory_mb)
         if own.amqp.enabled:
             self._consume(own)
 
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Hashable, Sequence
 from typing import Any, NamedTuple, Protocol
 
+import msgspec
+
 from lapispick import interface as api
 from lapispick.control import Controller
 from lapispick.handover import messages as say
@@ -368,9 +370,9 @@
             return
         settings = dataclasses.replace(self.settings, cold=item.cold, gauges=(*api.OTHERS, *self.settings.gauges))
         self.control = Controller(settings, self.seed, self._now - item.spent)
-        self._adopt()
         if self.recorder is not None:
             self.recorder.begin(settings, self.seed, self._now - item.spent)
+        self._adopt()
         self.duty.ready = True
         log(LOG, logging.INFO, "ready", cold=item.cold, spent_ms=item.spent)
         self._step(self.control, [])
@@ -584,9 +586,11 @@
         self._divide(1.0)
 
     def _adopt(self) -> None:
-        """Begin with what the other process learned; a trace would not replay with it, so a recorder goes before."""
-        if self.control is not None and self.learned is not None and self.recorder is None:
+        """Begin with what the other process learned; a recorder is told, or its trace would not replay."""
+        if self.control is not None and self.learned is not None:
             self.control.adopt(self.learned)
+            if self.recorder is not None:
+                self.recorder.happened("adopted", msgspec.json.encode(self.learned).decode())
             self.learned = None
 
     def _divide(self, part: float) -> None:
--- a/lapispick/host/recorder.py
+++ b/lapispick/host/recorder.py
@@ -22,12 +22,15 @@
 from lapispick.conf.settings import Trace
 from lapispick.host.core import Request
 from lapispick.host.logs import log
-from lapispick.host.loop import Loop, Overlong, Stream
+from lapispick.host.loop import Closed, Loop, Overlong, Stream
 from lapispick.settings import Info
 from lapispick.trace.kinds import NUMBERS, Answered, Arrival, Gap, Happened
 
 LOG = "trace"
 HAND_OVER = 200  # steps; then they are handed over at once
+BUFFER_PART = 64  # of the memory limit may wait for the writer, at most
+RESTART_S, RESTART_MOST_S = 1.0, 60.0  # s; before another writer is started, doubled each time it wrote nothing
+WROTE = b"wrote "  # the writer's word of how many steps are in whole blocks; all other lines are complaints
 CLOSE_S = 0.05  # s; kept free of what a drain leaves for the last hand-over
 ARRIVAL, ANSWERED, GAP, HAPPENED = (NUMBERS[kind] for kind in (Arrival, Answered, Gap, Happened))
 
@@ -35,36 +38,46 @@
 class Recorder:
     """Takes the steps of one life of the host."""
 
-    def __init__(self, loop: Loop, settings: Trace, name: str, info: Info) -> None:
+    def __init__(self, loop: Loop, settings: Trace, name: str, info: Info, memory_mb: float) -> None:
         self._loop, self._settings, self._name, self._info = loop, settings, name, info
+        self._buffer = min(settings.buffer, int(memory_mb * (1 << 20) / BUFFER_PART))
         # Subjects of one life can be told apart, and not guessed from a trace; with a shared key, those of all boxes.
         key = settings.subject_key
         self._salt = os.urandom(16) if key is None else Path(key).read_bytes()
         self._encode = msgspec.msgpack.Encoder().encode
         self._waiting: list[tuple[Any, ...]] = []
         self._lost = 0
+        self._begin = b""
+        self._handed = self._written = 0  # steps, by the present writer
+        self._pause, self._closing = RESTART_S, False
         self._notes: list[tuple[Any, ...]] = []
         self._stream: Stream | None = None
 
     def begin(self, settings: api.Settings, seed: int, now: float) -> None:
         """Start the process that writes; ``now`` is the module's clock at its start, ms."""
-        ours, theirs = socket.socketpair()
-        with theirs:
-            # A session of its own: a Ctrl-C meant for the host must not end it before the last step is written.
-            subprocess.Popen([sys.executable, "-m", "lapispick.trace.helper"], stdin=theirs,
-                             stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True)
         told = self._settings
-        self._stream = Stream(self._loop, ours, out_most=told.buffer + (64 << 10))
-        self._send(msgspec.json.encode({
+        self._begin = msgspec.json.encode({
             "folder": str(told.folder), "box": self._name,
             "incarnation": f"{int(time.time() * 1000):012x}-{os.getpid()}",
             "rotate_size": told.rotate_size, "rotate_age": told.rotate_age, "keep_size": told.keep_size,
             "keep_age": told.keep_age, "sync": told.sync, "seed": seed, "module_now": now,
             "started_ms": time.time() * 1000, "settings": msgspec.json.encode(settings).decode(),
-            "classes": [s.name for s in self._info.services], "accounts": [p.name for p in self._info.parties]}))
-        self._loop.spawn(self._listen, self._stream)
+            "classes": [s.name for s in self._info.services], "accounts": [p.name for p in self._info.parties]})
+        self._start()
         self._loop.later(told.flush, self._beat)
 
+    def _start(self) -> None:
+        """Start a writer; what the one before it had not written is a gap in the trace."""
+        ours, theirs = socket.socketpair()
+        with theirs:
+            # A session of its own: a Ctrl-C meant for the host must not end it before the last step is written.
+            subprocess.Popen([sys.executable, "-m", "lapispick.trace.helper"], stdin=theirs,
+                             stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True)
+        self._handed = self._written = 0
+        self._stream = Stream(self._loop, ours, out_most=self._buffer + (64 << 10))
+        self._send(self._begin)
+        self._loop.spawn(self._listen, self._stream)
+
     def step(self, now: float, events: list[api.Event], actions: list[api.Action]) -> None:
         """Take one step of the module."""
         # References only: encoding step by step costs three times as much as encoding many at once.
@@ -101,7 +114,7 @@
         numbers = NUMBERS
         data = self._encode([(now, [(numbers[type(e)], *e) for e in events], [(numbers[type(a)], *a) for a in actions],
                               notes) for now, events, actions, notes in steps])
-        if stream.closed or stream.unsent + len(data) > self._settings.buffer:
+        if stream.closed or stream.unsent + len(data) > self._buffer:
             if not self._lost:
                 log(LOG, logging.WARNING, "trace-gap", unsent=stream.unsent, ended=stream.closed)
             self._lost += len(steps)
@@ -109,6 +122,7 @@
         if self._lost:
             self._send(self._encode([(time.time() * 1000, [], [], [(GAP, self._lost)])]))
             self._lost = 0
+        self._handed += len(steps)
         self._send(data)
 
     def _send(self, data: bytes) -> None:
@@ -116,16 +130,27 @@
         self._stream.write(len(data).to_bytes(4, "little") + data)
 
     def _listen(self, stream: Stream) -> None:
-        """Log what the writer complains of."""
+        """Take the writer's word of what it wrote, log what it complains of, and start another one if it ends."""
         try:
             while (line := stream.read_line()) is not None:
-                log(LOG, logging.ERROR, "trace-failed", fault=line.decode(errors="replace"))
-        except Overlong:
+                if line.startswith(WROTE) and line[len(WROTE):].isdigit():
+                    self._written += int(line[len(WROTE):])
+                    self._pause = RESTART_S
+                else:
+                    log(LOG, logging.ERROR, "trace-failed", fault=line.decode(errors="replace"))
+        except (Overlong, Closed):
             pass
         stream.close()
+        if self._closing:
+            return
+        self._lost += max(0, self._handed - self._written)
+        log(LOG, logging.WARNING, "trace-writer-ended", lost=self._lost, again_s=self._pause)
+        self._loop.later(self._pause, self._start)
+        self._pause = min(RESTART_MOST_S, 2 * self._pause)
 
     def close(self, seconds: float) -> None:
         """Hand over the last steps; the writer closes its file whole once the socket ends."""
+        self._closing = True
         if self._stream is None:
             return
         if self._notes:
--- a/lapispick/trace/anonymising.py
+++ b/lapispick/trace/anonymising.py
@@ -85,6 +85,6 @@
         if type(note) is Arrival:
             account = self._stand_in("account", note.account) if note.account else ""
             return note._replace(account=account, subject=self._subject(note.subject))
-        if type(note) is Happened:  # its text may name addresses
+        if type(note) is Happened and note.what != "adopted":  # its text may name addresses
             return note._replace(told="")
         return note
--- a/lapispick/trace/helper.py
+++ b/lapispick/trace/helper.py
@@ -77,13 +77,22 @@
     return Step(now, *made)
 
 
+def _next(folder: Path, name: str) -> int:
+    """Return the number of the next file of this life: another writer may have begun it and ended early."""
+    with suppress(OSError):
+        found = [entry.name.removeprefix(name).split(".")[0] for entry in os.scandir(folder)
+                 if entry.name.startswith(name)]
+        return max((int(number) + 1 for number in found if number.isdigit()), default=0)
+    return 0
+
+
 class Recording:
     """The files of one life of a host."""
 
-    def __init__(self, begin: Begin, complain: Any) -> None:
-        self._begin, self._folder, self._complain = begin, Path(begin.folder), complain
+    def __init__(self, begin: Begin, complain: Any, told: Any = lambda count: None) -> None:
+        self._begin, self._folder, self._complain, self._told = begin, Path(begin.folder), complain, told
         self._module = module_digest()
-        self._sequence = 0
+        self._sequence = _next(self._folder, f"{begin.box}-{begin.incarnation}-")
         self._writer: Writer | None = None
         self._path = self._folder
         self._file: Any = None
@@ -122,6 +131,7 @@
             if self._begin.sync == "block":
                 os.fsync(self._file.fileno())
             self._lost = 0
+            self._told(sum(1 for s in steps if not any(type(n) is Gap for n in s.notes)))
             if rotate(writer.size, self._opened, now, self._begin.rotate_size, self._begin.rotate_age):
                 self.close()
         except OSError as err:
@@ -199,12 +209,16 @@
         with suppress(OSError):  # the host has gone or does not listen; the gap says it too
             link.send(text.replace("\n", " ").encode() + b"\n", socket.MSG_DONTWAIT)
 
+    def told(count: int) -> None:
+        with suppress(OSError):  # the host then takes these steps for lost if this process ends, no more
+            link.send(b"wrote %d\n" % count, socket.MSG_DONTWAIT)
+
     recording: Recording | None = None
     for data in messages(link):
         now = time.monotonic()
         if recording is None:
             if data is not None:
-                recording = Recording(msgspec.json.decode(data, type=Begin), complain)
+                recording = Recording(msgspec.json.decode(data, type=Begin), complain, told)
             continue
         if data is not None:
             for made in steps(data):
--- a/lapispick/trace/kinds.py
+++ b/lapispick/trace/kinds.py
@@ -40,10 +40,10 @@
 
 
 class Happened(NamedTuple):
-    """What operators did: a drain's begin or end, a configuration that was read again."""
+    """What came from outside the module's events: a drain's begin or end, a reload, an upgrade."""
 
-    what: str  # drain-on, drain-off, reloaded
-    told: str
+    what: str  # drain-on, drain-off, reloaded; adopted: the module took over what another process had learned
+    told: str  # reloaded: the keys; adopted: JSON of it
 
 
 class Straddles(NamedTuple):
--- a/lapispick/trace/replaying.py
+++ b/lapispick/trace/replaying.py
@@ -15,7 +15,7 @@
 
 from lapispick import interface as api
 from lapispick.control import Controller
-from lapispick.trace.kinds import Gap, Step
+from lapispick.trace.kinds import Gap, Happened, Step
 
 
 class Difference(NamedTuple):
@@ -51,6 +51,9 @@
         if gap := sum(note.steps for note in step.notes if type(note) is Gap):
             made.gaps += gap
             break
+        for note in step.notes:
+            if type(note) is Happened and note.what == "adopted":  # from the process before it, in an upgrade
+                control.adopt(msgspec.json.decode(note.told, type=api.Learned))
         if not step.events and not step.actions and made.steps:
             continue  # notes only
         got = tuple(control.step(step.now, list(step.events)))
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import re
+import resource
 import signal
 import subprocess
 import sys
@@ -281,10 +283,25 @@
     r = Recorded(tmp_path, host)
     r.ask()
     until(lambda: r.files(".open") and r.files(".open")[0].stat().st_size > 2000, "a block on the disk")
-    os.kill(r.helper(), signal.SIGKILL)
+    helper, stopped = r.helper(), time.monotonic()
+    os.kill(helper, signal.SIGSTOP)  # what is handed over from here on is never written
+    until(lambda: r.ask(20) and time.monotonic() - stopped > 0.3, "some hand-overs, 50 ms apart")
+    os.kill(helper, signal.SIGKILL)
     assert len(r.ask()) == 60
-    r.host.logged("trace-gap")
-    (path,) = r.files(".open")
+    r.host.logged("trace-writer-ended")
+
+    def written_again():
+        r.ask(4)
+        return len(r.files(".open")) == 2 and read(r.files(".open")[1])[0]
+
+    first = until(written_again, "the next writer's first block")[0]
+    (gap,) = (n for n in first.notes if type(n) is Gap)
+    lost = int(re.search(r"trace-writer-ended lost=(\d+)", r.host.log()).group(1))
+    path, then = r.files(".open")
+    assert gap.steps >= lost > 20 and read(path)[1].header.sequence == 0 and read(then)[1].header.sequence == 1
+    assert read(path)[1].header.incarnation == read(then)[1].header.incarnation
+    told = json.loads(tool("replay", r.folder, "--json"))
+    assert told["gaps"] == gap.steps and not told["differing"] and told["steps"] > 0
     path.write_bytes(path.read_bytes() + b"LPB\xa7 half a block")
     assert "no index" in tool("verify", path, code=1)
     tool("repair", path, tmp_path / "whole.lptrace")
@@ -317,6 +334,25 @@
     assert told["gaps"] and not told["differing"]
 
 
+def test_a_disk_that_fills_up_costs_its_steps_and_no_answer(tmp_path, host):
+    r = Recorded(tmp_path, host)
+    r.ask()
+    until(lambda: r.files(".open") and r.files(".open")[0].stat().st_size > 2000, "a block on the disk")
+    resource.prlimit(r.helper(), resource.RLIMIT_FSIZE, (4096, resource.RLIM_INFINITY))
+    end = time.monotonic() + 20
+    while "event=trace-failed" not in r.host.log() and time.monotonic() < end:
+        assert len(r.ask()) == 60
+    r.host.logged("trace-failed")
+    resource.prlimit(r.helper(), resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+
+    def gaps():
+        r.ask(4)
+        return sum(n.steps for p in r.files(".open") for s in read(p)[0] for n in s.notes if type(n) is Gap)
+
+    assert until(gaps, "the gap in the next file") > 0
+    assert not json.loads(tool("replay", r.folder, "--json"))["differing"]
+
+
 def test_a_folder_that_cannot_be_written_is_told_and_costs_no_answer(tmp_path, host):
     (tmp_path / "traces").write_text("a file")
     r = Recorded(tmp_path, host)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -622,3 +622,32 @@
             assert g.result(n) == "did queued"
         assert old.process.wait(5) == 0
         os.close(fds[0])
+
+
+def test_what_an_upgrade_takes_over_stands_in_the_trace_and_replays(host, fixed, tmp_path):
+    from lapispick.trace import files
+    from lapispick.trace.kinds import Happened
+    from lapispick.trace.replaying import replay
+
+    old = host(listen=fixed(), info=LONG)
+    g = old.gateway()
+    for _ in range(30):  # what can be learned of runs
+        g.result(g.request("track", "call:200"))
+    (tmp_path / "own.conf").write_text("section trace\n enabled yes\n folder traces\n flush 50ms\nend\n")
+    new = host(beside=old, environ={"LAPISPICK_CONF": str(tmp_path / "own.conf")})
+    assert serving(new)
+    old.leave()
+    assert old.process.wait(6) == 0
+    g = new.gateway()
+    for n in range(30):
+        g.result(g.request("track" if n % 2 else "book", "call:200", None if n % 2 else nonce()))
+    new.leave()
+    assert new.process.wait(6) == 0
+    (path,) = until(lambda: list((tmp_path / "traces").glob("*.lptrace")), "the closed file")
+    with files.Reader(path) as reader:
+        steps, source = list(reader.steps()), reader.header
+    assert {n.what for s in steps for n in s.notes if type(n) is Happened} == {"adopted"}
+    made = replay(source.settings, source.seed, source.module_now, steps)
+    assert made.differing == 0 and made.steps > 60
+    bare = [s._replace(notes=()) for s in steps]  # without the word of it the module waits and prices otherwise
+    assert replay(source.settings, source.seed, source.module_now, bare).differing > 0
