--- a/lapispick/host/recorder.py
+++ b/lapispick/host/recorder.py
@@ -111,16 +111,18 @@
         self._waiting = []
         if not steps or stream is None:
             return
+        # Records encode as they are, all their kinds beside them: a tuple made for each would cost as much again.
         numbers = NUMBERS
-        data = self._encode([(now, [(numbers[type(e)], *e) for e in events], [(numbers[type(a)], *a) for a in actions],
-                              notes) for now, events, actions, notes in steps])
+        kinds = bytes([numbers[type(one)] for _, events, actions, _ in steps for part in (events, actions)
+                       for one in part])
+        data = self._encode((kinds, steps))
         if stream.closed or stream.unsent + len(data) > self._buffer:
             if not self._lost:
                 log(LOG, logging.WARNING, "trace-gap", unsent=stream.unsent, ended=stream.closed)
             self._lost += len(steps)
             return
         if self._lost:
-            self._send(self._encode([(time.time() * 1000, [], [], [(GAP, self._lost)])]))
+            self._send(self._encode((b"", [(time.time() * 1000, [], [], [(GAP, self._lost)])])))
             self._lost = 0
         self._handed += len(steps)
         self._send(data)
--- a/lapispick/trace/helper.py
+++ b/lapispick/trace/helper.py
@@ -59,22 +59,20 @@
 
 def steps(data: bytes) -> list[Step]:
     """Return the steps of one hand-over, as the recorder encodes them."""
-    return [_step(now, parts) for now, *parts in msgspec.msgpack.decode(data)]
-
-
-def _step(now: float, parts: list[Any]) -> Step:
-    made: list[tuple[Any, ...]] = []
-    for part in parts:
-        items = []
-        for number, *values in part:
-            kind = KINDS[number]
-            if kind in (interface.RunEnded, interface.CallEnded):
-                values[1] = interface.Outcome(values[1])
-            elif kind is interface.TimerFired:
-                values[1] = tuple(values[1])
-            items.append(kind(*values))
-        made.append(tuple(items))
-    return Step(now, *made)
+    kinds, found = msgspec.msgpack.decode(data)
+    numbers = iter(kinds)
+    return [Step(now, *(tuple(_record(next(numbers), values) for values in part) for part in (events, actions)),
+                 tuple(_record(number, values) for number, *values in notes))
+            for now, events, actions, notes in found]
+
+
+def _record(number: int, values: list[Any]) -> Any:
+    kind = KINDS[number]
+    if kind in (interface.RunEnded, interface.CallEnded):
+        values[1] = interface.Outcome(values[1])
+    elif kind is interface.TimerFired:
+        values[1] = tuple(values[1])
+    return kind(*values)
 
 
 def _next(folder: Path, name: str) -> int:
