--- a/lapispick/trace/folding.py
+++ b/lapispick/trace/folding.py
@@ -228,7 +228,7 @@
         return place >= 0 and self._roots["born"][place] + self._kept[self._roots["cls"][place]] > now
 
     def _found(self, rows: Rows) -> tuple[Any, list[tuple[int, Any, Any]]]:
-        """Return the places of the requests that rows stand for, -1 where one takes no part, and those of the tries."""
+        """Return the places of the rows' requests, -1 where one takes no part; and the tries of those that do."""
         ids, boxes = rows.column("id"), self._box[rows.steps]
         places, tries = np.full(rows.count, -1, np.int64), []
         for box, table in enumerate(self._tries):
@@ -262,7 +262,7 @@
         places, tries = self._found(rows)
         for box, here, at in tries:
             table = self._tries[box]
-            waits = table["waits"][at] & (places[here] >= 0)
+            waits = table["waits"][at]
             here, at = here[waits], at[waits]
             at, once = np.unique(at, return_index=True)
             table["waits"][at] = False
@@ -302,7 +302,7 @@
             table = self._tries[box]
             first = np.zeros(len(at), np.bool_)
             first[np.unique(at, return_index=True)[1]] = True
-            first &= table["open"][at] & (places[here] >= 0)
+            first &= table["open"][at]
             if box in left:  # what went in the same block or step went before its answer was noted
                 when = np.full(table.size, np.iinfo(np.int64).max, np.int64)
                 when[left[box][0][::-1]] = left[box][1][::-1]
--- a/lapispick/trace/merging.py
+++ b/lapispick/trace/merging.py
@@ -1,6 +1,6 @@
 """One trace out of those of several boxes: whose steps come when, and whose they are. No I/O.
 
-Never reorders within one life of a box, whatever its clock did: a step counts as no earlier than the one before it.
+Never reorders within one life of a box, whatever its clock did.
 """
 
 from __future__ import annotations
@@ -47,16 +47,9 @@
     return left
 
 
-def _rising(steps: Iterable[Step], number: int, when: Callable[[Step], float]) -> Iterator[tuple[float, int, Step]]:
-    latest = float("-inf")
-    for step in steps:
-        latest = max(latest, when(step))
-        yield latest, number, step
-
-
 def merge(streams: Sequence[Iterable[Step]], when: Callable[[Step], float]) -> Iterator[Step]:
-    """Yield the steps of lives by time; at the same time by the order of the streams."""
-    # The key ends before the step: steps of one stream are never compared with each other, as its times do not fall.
-    ordered = [_rising(steps, number, when) for number, steps in enumerate(streams)]
-    for _, _, step in heapq.merge(*ordered, key=lambda one: one[:2]):
-        yield step
+    """Yield the steps of lives by time; at the same time by the order of the streams.
+
+    A step that is earlier than the one before it in its stream follows that one at once: no other head is earlier.
+    """
+    return heapq.merge(*streams, key=when)
