--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,43 @@
+"""What is off costs nothing: the platform's host does not import it, whatever it is asked."""
+
+import re
+import uuid
+
+import pytest
+
+OFF = ("lapispick.trace", "lapispick.host.recorder", "lapispick.fleet", "lapispick.host.amqp",
+       "lapispick.host.inventory", "lapispick.durable", "lapispick.cli", "lapispick.standins", "numpy", "matplotlib",
+       "google", "zstandard", "yaml", "sqlite3", "click", "rich", "structlog", "hdrh", "immutables", "idna")
+
+
+def imported(h):
+    return set(re.findall(r"^import time:[\s\d|]*?([\w.]+)$", h.log(), re.M))
+
+
+def off(names):
+    return sorted(name for name in names for part in OFF if name == part or name.startswith(part + "."))
+
+
+def test_run_imports_nothing_that_is_off(host):
+    h = host(environ={"PYTHONPROFILEIMPORTTIME": "1"})
+    g = h.gateway()
+    assert g.result(g.request("track", "call:200")) == "reply 1"
+    assert g.result(g.request("book", "x", uuid.uuid4().hex)) == "did x"
+    for line in (b"check", b"vars", b"drain-on", b"drain-off"):
+        h.call(line)
+    h.reload()
+    h.leave()
+    assert h.process.wait(6) == 0
+    names = imported(h)
+    assert {"lapispick.host.core", "lapispick.control", "greenlet"} <= names
+    assert off(names) == []
+
+
+@pytest.mark.parametrize("conf,wanted", [("section trace\n enabled yes\n folder t\nend\n", "lapispick.host.recorder")])
+def test_what_is_on_is_seen_to_be_imported(host, tmp_path, conf, wanted):
+    (tmp_path / "own.conf").write_text(conf)
+    h = host(environ={"PYTHONPROFILEIMPORTTIME": "1", "LAPISPICK_CONF": str(tmp_path / "own.conf")})
+    names = imported(h)
+    assert wanted in off(names)
+    # The host's own process needs the kinds of records only; all else of a trace is the writer's.
+    assert not {"numpy", "google.protobuf", "zstandard"} & names
