--- a/lapispick/cli/trace_write.py
+++ b/lapispick/cli/trace_write.py
@@ -4,7 +4,7 @@
 
 import gzip
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any, BinaryIO
@@ -22,6 +22,8 @@
 from lapispick.trace.records import Header
 from lapispick.trace.selecting import DROP, MARK, WHOLE, Selector, Wanted
 
+WITHIN_LEAST = 4  # bytes; a shorter name stands within others by chance
+
 
 @click.command()
 @PATH
@@ -84,10 +86,10 @@
         left = merging.corrected(told, found)
     by_reader = {id(r): place for r, place in zip(opened, places, strict=True)}
 
-    def stream(many: list[files.Reader], tell: object) -> Iterator[Step]:
+    def stream(many: list[files.Reader], tell: Callable[[int], None]) -> Iterator[Step]:
         for reader in many:
             place = by_reader[id(reader)]
-            for step in steps(reader, tell):  # type: ignore[arg-type]
+            for step in steps(reader, tell):
                 yield step if place == [step.box] else step._replace(box=place[step.box])
 
     header = Header(sources=told, made=["merged by corrected clocks" if correct_clocks else "merged"])
@@ -136,9 +138,6 @@
         say(text)
 
 
-WITHIN_LEAST = 4  # bytes; a shorter name stands within others by chance
-
-
 def _left(path: Path, originals: set[str], stand_ins: set[str]) -> set[str]:
     """Return which of these are a word of a file, or stand within one where they are long enough to mean something."""
     wanted, found = {name: name.encode() for name in originals - stand_ins}, set()
--- a/lapispick/host/recorder.py
+++ b/lapispick/host/recorder.py
@@ -68,6 +68,8 @@
 
     def _start(self) -> None:
         """Start a writer; what the one before it had not written is a gap in the trace."""
+        if self._closing:
+            return
         ours, theirs = socket.socketpair()
         with theirs:
             # A session of its own: a Ctrl-C meant for the host must not end it before the last step is written.
--- a/lapispick/trace/comparing.py
+++ b/lapispick/trace/comparing.py
@@ -16,6 +16,7 @@
 from lapispick import interface as api
 from lapispick.trace.kinds import Step
 
+KNOWN_MOST = 200_000  # requests whose class is kept; far more than are ever open, so that memory has a bound
 DECISIONS: dict[type, str] = {api.Run: "run", api.Refuse: "refused", api.Fail: "failed", api.GoWithout: "poorer"}
 
 
@@ -68,9 +69,6 @@
                 del self._cls[key]
 
 
-KNOWN_MOST = 200_000  # requests whose class is kept; far more than are ever open, so that memory has a bound
-
-
 def estimate(recorded: dict[str, Choice], other: dict[str, Choice], served: dict[str, float]) -> None:
     """Write the worth into both sides: ``served`` is the worth that the recorded runs of a class earned."""
     for name, choice in recorded.items():
--- a/lapispick/trace/series.py
+++ b/lapispick/trace/series.py
@@ -17,6 +17,7 @@
 
 POINTS_MOST = 1200  # spans of one plot; more are not seen
 SPAN_LEAST = 250.0  # ms
+KEPT_MOST = 1000  # ages that a span's median is taken of
 
 
 class Series(msgspec.Struct):
@@ -88,9 +89,6 @@
                   [float(np.median(held)) if held else 0.0 for held in ages], marks)
 
 
-KEPT_MOST = 1000  # spans of answers that a median is taken of
-
-
 def _by_word(rows: Any, field: str, into: _Rows, at: Any, times: Any) -> None:
     if rows.count:
         spans, places = at(times[rows.steps]), rows.column(field)
