Start without a store where nothing below is shared

Ruled out: the platform's limits, the settings object (all its keys were read), the start's time (0.3 s).

At fault: host/config.py, `store: str` without a default, and Config.address for all peers alike.

Change: `store` may be absent, and has to be there where Below is shared. Without one a call ends as one that found no connection, so the module leaves it out or fails the run, and a reload may bring a store or take it away.

--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -70,7 +70,7 @@
         self.centre = centre = Core(loop, settings, int(config.seed, 16), limits.kept, limits.open,
                                          [s.name for s in config.settings.services])
         self.executor = centre.executor = ExecutorLink(loop, config.address("executor"), centre.post)
-        self.store = centre.store = StoreClient(loop, config.address("store"), centre.post, most=limits.calls)
+        self.store = centre.store = StoreClient(loop, config.store_address, centre.post, most=limits.calls)
         self.roster = Roster(loop, config.address("roster"), config.name)
         centre.on_duty = self.roster.set
         self.gateways = Gateways(loop, config.address("listen"), config.settings, settings,
@@ -235,8 +235,9 @@
             self.recorder.happened("reloaded", ",".join(taken))
         if left := [key for key in changed if key not in RELOADED]:
             log(LOG, logging.WARNING, "reload-left-out", needs_restart=",".join(left))
-        for key, part in (("executor", self.executor), ("store", self.store), ("roster", self.roster)):
-            part.move(self.config.address(key))
+        self.executor.move(self.config.address("executor"))
+        self.store.move(self.config.store_address)
+        self.roster.move(self.config.address("roster"))
 
     def _leave(self) -> None:
         """Serve until shortly before the process is stopped, and end once all that was read is answered."""
--- a/lapispick/host/config.py
+++ b/lapispick/host/config.py
@@ -73,17 +73,22 @@
     listen: str
     executor: str
     roster: str
-    store: str
     seed: str
     stop_ms: float
     settings: Info
+    store: str = ""  # empty = nothing below that all worker hosts share, and no call is made
     ops: str = ""  # where operators call; empty = nowhere
     limits: Limits = msgspec.field(default_factory=Limits)
 
     def address(self, key: str) -> Address:
-        """Return one of the addresses."""
+        """Return one of the addresses that must be there."""
         return address(getattr(self, key), least=0)
 
+    @property
+    def store_address(self) -> Address | None:
+        """Return where calls go; None where nothing is called."""
+        return self.address("store") if self.store else None
+
     @property
     def start(self) -> api.Settings:
         """The module's settings."""
@@ -114,7 +119,9 @@
         raise ConfigError(_key_of(err)) from None
     except msgspec.DecodeError as err:
         raise ConfigError(f"the configuration is not JSON: {err}") from None
-    for key in ("listen", "executor", "roster", "store", *(["ops"] if config.ops else [])):
+    _check("store", bool(config.store) or config.settings.family_info.below != "shared",
+           "must be there where settings.FamilyInfo.Below is shared")
+    for key in ("listen", "executor", "roster", *(key for key in ("store", "ops") if getattr(config, key))):
         try:
             address(getattr(config, key), least=0 if key in ("listen", "ops") else 1)
         except ValueError as err:
--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -130,7 +130,7 @@
 class StoreClient:
     """Makes calls and reports each one's end, unless the call was dropped before."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], post: Callable[[Any], None], most: int) -> None:
+    def __init__(self, loop: Loop, address: tuple[str, int] | None, post: Callable[[Any], None], most: int) -> None:
         self._loop, self._address, self.post, self._most = loop, address, post, most
         self.shared = False  # with another process of this worker host
         self._idle: deque[tuple[float, Stream]] = deque()  # by the time they went idle
@@ -147,8 +147,8 @@
         ticket.worker = self._loop.spawn(self._run, ticket)
         return ticket
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Make new calls at a new address; those that are out end where they began."""
+    def move(self, address: tuple[str, int] | None) -> None:
+        """Make new calls at a new address, or nowhere; those that are out end where they began."""
         if address != self._address:
             self._address = address
             while self._idle:
@@ -195,7 +195,8 @@
             log(LOG, logging.WARNING, "connect-failed", error=err)
             return Outcome.CONNECT_FAILED, b"", False
         wait = max(1, int((deadline - time.monotonic()) * 1000))
-        host, port = ticket.address or self._address
+        assert ticket.address is not None
+        host, port = ticket.address
         head = (f"POST /query HTTP/1.1\r\nHost: {host}:{port}\r\nX-For-Request: {ticket.tag}\r\n"
                 f"X-Wait-Ms: {wait}\r\nContent-Length: {len(body)}\r\n\r\n")
         stream = ticket.stream
@@ -220,6 +221,8 @@
     def _open(self, ticket: Ticket, fresh: bool) -> Stream:
         """Take the freshest idle connection that has settled and is still good, or open one."""
         ticket.address = self._address
+        if ticket.address is None:
+            raise OSError("there is no store")
         # A reset on a connection that was idle may come instead of the reply as well: where the call must not
         # be made twice, the two are kept apart by a connection of its own.
         if not fresh and not ticket.once and (stream := self._settled()) is not None:
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -385,7 +385,7 @@
     """The real program as a process, with stand-ins for its peers."""
 
     def __init__(self, folder, stop_ms=1500, environ=None, info=None, ready=True, cwd=None, listen="127.0.0.1:0",
-                 started=True, **peers):
+                 started=True, without=(), **peers):
         self.executor = peers.get("executor") or Executor()
         self.store = peers.get("store") or Store()
         self.roster = peers.get("roster") or Roster()
@@ -393,6 +393,7 @@
             "name": "n3", "listen": listen, "executor": self.executor.at, "roster": self.roster.at,
             "store": self.store.at, "seed": "8c1f30d27a5be964", "stop_ms": stop_ms, "ops": "127.0.0.1:0",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": info or INFO}
+        self.config = {key: value for key, value in self.config.items() if key not in without}
         self.folder = folder
         self.path = path = folder / f"config{len(list(folder.glob('config*.json'))) or ''}.json"
         path.write_text(json.dumps(self.config))
@@ -448,9 +449,9 @@
         with open(f"/proc/{self.process.pid}/status") as file:
             return int(re.search(r"VmHWM:\s+(\d+)", file.read()).group(1)) / 1024
 
-    def reload(self, text=None, **over):
+    def reload(self, text=None, without=(), **over):
         """Replace the configuration, by default with the peers' present addresses, and tell the program."""
-        peers = {key: getattr(self, key).at for key in ("executor", "store", "roster")}
+        peers = {key: getattr(self, key).at for key in ("executor", "store", "roster") if key not in without}
         seen = self.log().count("event=reload")
         spare = self.path.with_suffix(".new")
         spare.write_text(text or json.dumps({**self.config, **peers, **over}))
