--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -31,7 +31,7 @@
     for below, missing in (("shared", True), ("off", False), ("tier", False)):
         changed = text.replace(b'"shared"', f'"{below}"'.encode()).replace(b'"store"', b'"no store"')
         if missing:
-            with pytest.raises(ConfigError, match="^store: "):
+            with pytest.raises(ConfigError, match=r"^store: "):
                 parse(changed)
         else:
             assert parse(changed).store_address is None
