Keep effects, slots and leaves right where notices, starts or WELCOME cross something else

- A link lost between EXEC and its notice.
An EXEC that may have got through was sent again unless its request had a key.
A class that is at_most_once has none, so its effect could begin twice where the run ended as the second copy was under way.
At fault: core.py _decided, `task.key is not None`.
Now it goes by the class's effect.
- More notices missed than the executor keeps.
Runs whose end went with them kept their slots until 15 s after their answer.
At fault: executor.py _read, which takes any number.
A gap now marks what had begun as unsure, so that a slot is free as soon as its request is answered.
- SIGTERM before WELCOME.
The Leave was dropped as there was no Controller, and a WELCOME behind it made one that took requests and ran them past the grace.
At fault: core.py _up.
A host that is to leave never begins to take anything.

Deep health checks that an executor never answers are bounded: with 64 of them open it is sick.

Ruled out: the key table (it refuses a second run of a key whatever comes), the fence after JOIN (notices of the time without a link are read before anything is sent again).

--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -34,6 +34,7 @@
 KB_MOST = 2000.0  # KB; the memory booked for a held request stays under this
 SHARE = 0.5  # of the memory that is bounded here, while two processes are one worker host
 SLICE, SLICE_S = 100, 0.005  # keys that are told at once, and the pause between two lots
+CHECKS_MOST = 64  # deep checks without an answer of the executor; with more it is sick, and none is asked for
 NOT_READY_MS = 500.0  # ms; when to come back to a host whose executor is not up yet
 
 SLACK_MS = 60.0  # ms; of the rule that each request is answered by its due time
@@ -114,7 +115,7 @@
 
 
 class RunUnsure(NamedTuple):
-    """A keyed run's start may have been lost with a link; it can't be asked for again."""
+    """A run's start, or word of its end, may have been lost, and it can't be asked for again."""
 
     tag: str
 
@@ -206,7 +207,7 @@
 class Executor(Protocol):
     """What the core asks of the executor."""
 
-    def run(self, tag: str, handler: str, body: str, keyed: bool) -> None: ...  # noqa: D102
+    def run(self, tag: str, handler: str, body: str, once: bool) -> None: ...  # noqa: D102
     def stop(self, tag: str) -> None: ...  # noqa: D102
     def resume(self, tag: str, body: str) -> None: ...  # noqa: D102
     def skip(self, tag: str, index: int) -> None: ...  # noqa: D102
@@ -366,7 +367,7 @@
     # What happened.
 
     def _up(self, item: ExecutorUp, events: list[api.Event]) -> None:
-        if self.control is not None:
+        if self.control is not None or self.duty.leaving:  # told to leave before it was up: it never takes anything
             return
         settings = msgspec.structs.replace(
             self.settings, cold=item.cold, gauges=(*api.OTHERS, *self.settings.gauges))
@@ -431,10 +432,10 @@
         self._settle(task)
 
     def _probed(self, item: Probed, events: list[api.Event]) -> None:
-        if item.deep and not self.from_store and self.duty.healthy:
+        if item.deep and not self.from_store and self.duty.healthy and len(self._checks) < CHECKS_MOST:
             self._checks[self.executor.diagnose()] = item
         else:
-            item.reply(self.duty.healthy, self.advice)
+            item.reply(self.duty.healthy and len(self._checks) < CHECKS_MOST, self.advice)
 
     def _diagnosed(self, item: Diagnosed, events: list[api.Event]) -> None:
         if (check := self._checks.pop(item.nonce, None)) is not None:
@@ -640,7 +641,8 @@
             task.running, task.claiming = True, False
             self.figures.runs += 1
             r = task.request
-            self.executor.run(r.tag, r.handler, r.body, task.key is not None)
+            once = self.settings.classes[r.cls].effect is not api.Effect.SAFE
+            self.executor.run(r.tag, r.handler, r.body, once)
         elif verdict is Verdict.WAIT:
             task.claiming = True
         elif verdict is Verdict.JOIN:
--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -45,7 +45,7 @@
 class Open(msgspec.Struct):
     """A run with no end so far, and the last command for it, until a notice shows what became of that."""
 
-    keyed: bool
+    once: bool  # it must not begin twice
     command: dict[str, Any] | None
     sent_at: float = 0.0  # when it was written to a link, which may have lost it; 0 = not yet
 
@@ -71,9 +71,9 @@
 
     # Commands, from the core.
 
-    def run(self, tag: str, handler: str, body: str, keyed: bool) -> None:
-        """Start a run."""
-        self._open[tag] = Open(keyed, None)
+    def run(self, tag: str, handler: str, body: str, once: bool) -> None:
+        """Start a run; ``once``: its start is never sent again where it may have got through."""
+        self._open[tag] = Open(once, None)
         self._order(tag, {"verb": "EXEC", "task": tag, "handler": handler, "bytes": body})
 
     def stop(self, tag: str) -> None:
@@ -179,9 +179,18 @@
             elif (taker := self._takers.get(notice.verb)) is None:
                 log(LOG, logging.WARNING, "notice-unknown", verb=notice.verb)
             else:
+                if notice.index > self._index + 1:
+                    self._missed(notice.index)
                 self._index = max(self._index, notice.index)
                 taker(notice)
 
+    def _missed(self, index: int) -> None:
+        """Guard the slots against ends that nobody will tell of: the executor keeps its last notices only."""
+        begun = [tag for tag, task in self._open.items() if task.sent_at]
+        log(LOG, logging.ERROR, "notices-missed", after=self._index, next=index, open=len(begun))
+        for tag in begun:
+            self._post(core.RunUnsure(tag))
+
     def _welcome(self, stream: Stream, notice: Notice) -> None:
         log(LOG, logging.INFO, "link-up", outcome=notice.outcome, spent_ms=notice.spent, index=self._index)
         self._post(core.ExecutorUp(notice.outcome == "chilly", notice.spent))
@@ -190,13 +199,13 @@
         self._stream, self._pause = stream, BACKOFF_S[0]
 
     def _after_fence(self) -> None:
-        """Send again what the old link may have lost, but no keyed start that may have got through."""
+        """Send again what the old link may have lost, but no start of an effect that may have got through."""
         for tag, task in list(self._open.items()):
             if task.command is None or self._stream is None:
                 continue
             if task.sent_at and task.sent_at < self._broke_at - UNSURE_S:
                 task.command = None  # it got through: a second copy could only do harm
-            elif task.sent_at and task.keyed and task.command["verb"] == "EXEC":
+            elif task.sent_at and task.once and task.command["verb"] == "EXEC":
                 task.command = None
                 self._post(core.RunUnsure(tag))
             elif task.sent_at < self._broke_at:  # what came since went out on this link
