Close connections in order: half-close, read on, then close, and never over an answer that is owed

Seen by reading every close against bytes that arrive in that instant, then forced by tests on the running program (tests/test_crossings.py): the process is stopped while the peer writes, or a gateway stops reading.

- A faulty message closed its connection over the bytes behind it: the system turned that into a reset, and other open requests got no word.
At fault: clients.py _fault and Connection.close.
- A gateway that ended its side lost what the system had not taken yet: serve() closed as soon as nothing was open.
- A reader that is slow could be closed for room with answers unsent: Standing.open looked at open requests only.
- An idle connection was closed over a request that had arrived a moment before: _sweep did not look.
- Half a line for 2.3 s closed a connection whatever else was owed on it: _sweep again.
The message now has its word, and the connection ends behind the answers.
- The end of the process: _leave looked at what the core owed, not at what nobody had read, and took 64 of the backlog at most.
In an upgrade a request could be read and run behind the last word to the successor, which then did not know its key.
Now all is read and answered, then all connections are half-closed, and only then comes that word.
- Operators' calls that came in one round were carried out last one first (loop.py soon): a drain that was begun and ended at once stayed on.

Ruled out: TCP_NODELAY (on every TCP stream), the listener's wake behind its close (guarded before).

Change: Stream.finish sends what is written, half-closes, drops what still comes for a bounded time and closes. A connection that took our last word goes first where room is needed.

--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -26,7 +26,7 @@
 from lapispick.host.figures import Wide
 from lapispick.host.handover import Handover
 from lapispick.host.logs import log, setup
-from lapispick.host.loop import READ, Loop
+from lapispick.host.loop import LINGER_S, READ, Loop
 from lapispick.host.ops import Operators
 from lapispick.host.roster import Roster
 from lapispick.host.store import StoreClient
@@ -39,6 +39,7 @@
 RELOADED = ("executor", "store", "roster", "stop_ms")  # keys that a reload changes in place
 OLD_FILE, OLD_VARIABLE = "deploy/amqp.toml", "LAPISPICK_AMQP"  # as in lapispick.conf.legacy
 END_S = 0.05  # s before the end; by then all is answered and handed over
+LAST_S = 0.12  # s before the end; until then clients may end their side too, and the rest is for the end of the process
 
 
 class Signals:
@@ -251,12 +252,15 @@
         loop.sleep(max(0.0, end_at - CLOSE_LISTENER_S - time.monotonic()))
         self.gateways.close_listener()
         loop.sleep(CLOSE_LISTENER_S / 2)  # what came with the last connections is read meanwhile
-        while time.monotonic() < end_at - END_S:
-            if self.centre.owed == 0 and all(front.flushed() for front in self.centre.fronts):
-                break
+        while time.monotonic() < end_at - END_S and not self._done():
             loop.sleep(0.01)
         self._end(end_at)
 
+    def _done(self) -> bool:
+        """Tell whether all that came was read and answered, and the answers handed to the system."""
+        return (self.centre.owed == 0 and self.gateways.quiet()
+                and all(front.flushed() for front in self.centre.fronts))
+
     def _hand_over(self, handover: Handover) -> None:
         """End once all that was read here is answered; the other process of this worker host goes on."""
         deadline = max(c.deadline_ms for c in self.config.start.classes)
@@ -267,12 +271,17 @@
         end_at = began + stop_ms / 1000
         while time.monotonic() < end_at - END_S:
             loop.sleep(0.02)
-            if (time.monotonic() > began + CROSSED_S and self.centre.owed == 0 and self.gateways.quiet()
-                    and all(front.flushed() for front in self.centre.fronts)):
+            if time.monotonic() > began + CROSSED_S and self._done():
                 break
         self._end(end_at)
 
     def _end(self, end_at: float) -> None:
+        # From here on nothing is read that would be lost, nor run behind the last word to the other process; peers
+        # still get what is on its way, which a process that ends over unread bytes would reset.
+        self.gateways.finish()
+        last = min(end_at - LAST_S, time.monotonic() + LINGER_S)
+        while time.monotonic() < last and not self.gateways.gone():
+            self.loop.sleep(0.005)
         if self.handover is not None:
             self.handover.done()
         if self.recorder is not None:
--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -36,6 +36,8 @@
 LOOKS_MOST = 8  # connections more than are accepted at once that are looked at when room is made
 SWEEP_S = 0.1  # s; between two looks for idle connections
 CLOSE_S = 1.0  # s; how long a peer may take to close after goaway
+STOPPED_S = 3.0  # s; a reader that took nothing for so long may lose its connection where room is needed
+ENDED_S = 10.0  # s; the longest for the answers to a gateway that has ended its side and reads slowly
 PARSE, INVALID, NO_METHOD, FAILED, REFUSED = -32700, -32600, -32601, -32000, -32050
 
 
@@ -122,6 +124,7 @@
         self.since = self.used_at = time.monotonic()
         self.part_since = 0.0  # since when part of a message waits for the rest; 0 = it does not
         self.proven = self.going = self.ended = self.suspect = False
+        self.shut = False  # nothing more is taken here, and what is open is still answered
         self._fresh: dict[int, core.Request] = {}  # read and not yet handed to the core
 
     def serve(self) -> None:
@@ -145,19 +148,39 @@
             raise
         self.ended = True
         self._hand_over()
-        # A gateway that only closed its sending side still waits for what it asked.
-        if self.stream.failed or not self.open:
+        # A gateway that only closed its sending side still waits for what it asked, and for what is on its way.
+        if self.stream.failed:
             self.close()
+        elif not self.open:
+            self.stream.finish(ENDED_S)
 
     def close(self) -> None:
         """Close the connection; whoever waited on it has gone."""
         self.stream.close()
-        waiting, self.open = self.open, {}
-        for number, request in waiting.items():
-            if self._fresh.pop(number, None) is None:
-                self.front.post(core.GaveUp(request))
+        for number in list(self.open):
+            self._end(number)
         self.front.closed(self)
 
+    def finish(self) -> None:
+        """End the connection with all that was written on its way; what is open ends here, and nobody waits for it."""
+        self.shut = True
+        for number in list(self.open):
+            self._end(number)
+            self._error(number, FAILED, "The connection ends")
+        self.stream.finish()
+
+    def _end(self, number: int) -> None:
+        """Note that nobody waits for a request any more; the core is told where it knows of it."""
+        request = self.open.pop(number)
+        if self._fresh.pop(number, None) is None:
+            self.front.post(core.GaveUp(request))
+
+    def shut_in(self) -> None:
+        """Take nothing more; end the connection as soon as what is open is answered."""
+        self.shut = True
+        self.stream.deafen()
+        self._settled()
+
     def goaway(self) -> None:
         """Ask the gateway to send nothing new here and to close."""
         if not self.going:
@@ -179,9 +202,11 @@
     def standing(self) -> room.Standing:
         """Return what decides whether this connection is kept."""
         part = self.stream.unread > 0 and not self.stream.holds_line()
+        stopped = self.stream.unsent > 0 and time.monotonic() - self.stream.moved_at > STOPPED_S
+        owed = bool(self.open or self._fresh or (self.stream.unsent and not stopped))
         return room.Standing(self.since, self.used_at, self.stream.heard_at, self.stream.pieces,
-                             (self.part_since or self.stream.heard_at) if part else 0.0, bool(self.open or self._fresh),
-                             self.proven, self.faults > 0)
+                             (self.part_since or self.stream.heard_at) if part else 0.0, owed,
+                             self.proven, self.faults > 0 or self.stream.ending or stopped)
 
     def _take(self, line: bytes) -> None:
         try:
@@ -254,14 +279,19 @@
         self._error(number, FAILED, "Given up", self.front.advice())
         self._settled()
 
+    def word(self, code: int, text: str) -> None:
+        """Tell the peer what is wrong with a message that can't be told by a number."""
+        self._error(None, code, text)
+
     def _fault(self, number: int | None, code: int, text: str, last: bool = False, **pairs: Any) -> None:
         """Answer what can't be used; close a connection that can't be understood or has too many faults."""
         self.faults += 1
         log(LOG, logging.WARNING, "request-faulty", fault=text, id=number, **pairs)
+        if number is not None and number in self.open:
+            self._end(number)
         self._error(number, code, text)
         if last or self.faults >= FAULTS_MOST:
-            self.stream.failed = True
-            self.close()
+            self.finish()
 
     def _invalid(self, line: bytes, err: Exception) -> None:
         """Answer JSON that is no message, under its id if that can be read and is new."""
@@ -292,8 +322,10 @@
 
     def _settled(self) -> None:
         self.used_at = time.monotonic()
-        if self.stream.failed or (self.ended and not self.open and not self.stream.unsent):
+        if self.stream.failed:
             self.close()
+        elif not self.open and (self.ended or self.shut):
+            self.stream.finish(ENDED_S)
 
     def _health(self, number: int, good: bool, advice: float | None) -> None:
         self._send(number, "result", {"healthy": good}, advice)
@@ -393,7 +425,7 @@
             order = room.order(((c, c.standing()) for c in self.connections), time.monotonic())
             self._going = iter(order[: ACCEPTS + LOOKS_MOST])
         for c in self._going:
-            if not c.stream.closed and not c.stream.waiting():
+            if not c.stream.closed and (c.stream.ending or not c.stream.waiting()):
                 c.close()
                 return True
         return False
@@ -415,15 +447,26 @@
     def close_listener(self, passed: bool = False) -> None:
         """Take in what has connected so far and refuse the rest; where it was passed on, the other process goes on."""
         if (sock := self._sock) is not None:
-            if not passed:
-                self._accept(sock)
+            rounds = 0 if passed else BACKLOG // ACCEPTS + 1  # all that the system holds, which is the backlog at most
+            while rounds and readable(sock) and self._accept(sock):
+                rounds -= 1
             self._sock = None
             self.loop.forget(sock.fileno())
             sock.close()
 
     def quiet(self) -> bool:
-        """Tell whether nothing is open or half read on any connection."""
-        return not any(c.open or c.stream.unsent or not c.stream.quiet() for c in self.connections)
+        """Tell whether nothing is open, unread or half read on any connection that still takes something."""
+        return not any(c.open or c.stream.unsent or not (c.stream.deaf or c.stream.ended or c.stream.quiet())
+                       for c in self.connections)
+
+    def finish(self) -> None:
+        """End all connections; what was written on them is still on its way."""
+        for c in list(self.connections):
+            c.finish()
+
+    def gone(self) -> bool:
+        """Tell whether all connections are closed."""
+        return all(c.stream.closed for c in self.connections)
 
     def flushed(self) -> bool:
         """Tell whether all answers were handed to the system."""
@@ -435,13 +478,19 @@
         while len(self.connections) > budget.connections(self._most, self.others) and self._make_room():
             pass  # another process of this worker host needs a part of the descriptors
         for c in list(self.connections):
-            if c.stream.closed or (c.ended and not c.open and not c.stream.unsent):
+            if c.stream.closed:
                 c.close()
+            elif c.stream.deaf or c.ended:
+                pass  # it ends by itself
             elif c.overdue(now):
                 log(LOG, logging.INFO, "silent-closed", unread=c.stream.unread, open=len(c.open))
-                c.close()
-            elif not c.open and self._idle_s and now - c.used_at > self._idle_s:
+                if c.open:  # what was asked before is still answered; the message that never ends has its word now
+                    c.word(INVALID, "the message did not come whole in time")
+                    c.shut_in()
+                else:
+                    c.finish()
+            elif not (c.open or c.stream.unsent) and self._idle_s and now - c.used_at > self._idle_s:
                 # First goaway, so that a request that crosses the close is not lost; then the gateway closes.
                 c.goaway()
-                if now - c.used_at > self._idle_s + CLOSE_S:
-                    c.close()
+                if now - c.used_at > self._idle_s + CLOSE_S and not c.stream.waiting():
+                    c.finish()
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -25,6 +25,8 @@
 OUT_MOST = 1 << 20  # bytes that wait for a slow reader before its connection is given up
 ROUND_S = 0.02  # s; after this the hub polls, so that urgent sockets wait for one call and no more
 UNSENT_MOST = 4 << 20  # bytes that wait for all slow readers together, unless the limits say otherwise
+LINGER_S = 0.5  # s; how long what a peer still sends is read and dropped before its connection is closed
+LINGER_MOST = 256 * 1024  # bytes of that; who sends more at a closed door is cut off
 
 
 class Timer:
@@ -64,6 +66,7 @@
         self._hub = getcurrent()
         self._poll = select.poll()
         self._ready: deque[tuple[Callable[..., Any], tuple[Any, ...]]] = deque()
+        self._urgent: deque[tuple[Callable[..., Any], tuple[Any, ...]]] = deque()  # these go first, in their order
         self._timers: list[tuple[float, int, Timer]] = []
         self._waits: dict[int, dict[int, Waiter]] = {}
         self._seq = 0
@@ -72,7 +75,7 @@
 
     def soon(self, fn: Callable[..., Any], *args: Any, urgent: bool = False) -> None:
         """Call a function from the hub in the next round, or before all others in it."""
-        (self._ready.appendleft if urgent else self._ready.append)((fn, args))
+        (self._urgent if urgent else self._ready).append((fn, args))
 
     def later(self, seconds: float, fn: Callable[..., Any], *args: Any) -> Timer:
         """Call a function from the hub after a span."""
@@ -153,6 +156,8 @@
     def run(self) -> None:
         """Poll and switch until stopped."""
         while not self._stopped:
+            for _ in range(len(self._urgent)):
+                self._call(*self._urgent.popleft())
             until = time.monotonic() + ROUND_S
             for _ in range(len(self._ready)):
                 self._call(*self._ready.popleft())
@@ -178,7 +183,7 @@
         """Return how many milliseconds the hub may sleep."""
         while self._timers and self._timers[0][2].fn is None:
             heappop(self._timers)
-        if self._ready or self._stopped:
+        if self._ready or self._urgent or self._stopped:
             return 0
         if not self._timers:
             return None
@@ -231,10 +236,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.loop, self.sock, self.longest, self.out_most, self.chunk = loop, sock, longest, out_most, chunk
         self.closed = self.failed = False
+        self.deaf = False  # what comes is read and dropped
+        self.ending = False  # what is written still goes out, and nothing after it
+        self.ended = False  # the peer sends nothing more
+        self.moved_at = 0.0  # when the system last took bytes, where some wait
         self.urgent = urgent
         self.received = 0  # bytes, ever or since the owner set it back
         self.heard_at, self.pieces = 0.0, 0  # when some came last, and how often
         self._in, self._out, self._flusher = bytearray(), bytearray(), None
+        self._dropped = 0  # bytes
 
     @property
     def unsent(self) -> int:
@@ -251,12 +261,23 @@
                 data = None  # the wait stands outside, or each waiting greenlet would hold a traceback
             except OSError:
                 self.failed = True
+                if self.ending:
+                    self.close()
                 return False
             if data is None:
-                if not self.loop.wait(self.sock.fileno(), READ, timeout, self.urgent) and not self.closed:
+                came = self.loop.wait(self.sock.fileno(), READ, timeout, self.urgent)
+                if not (came or self.closed or self.deaf):
                     raise TimeoutError("nothing was received in time")
                 waited = True
                 continue
+            self.ended = not data
+            if self.deaf:
+                if not self._drop(len(data)):
+                    return False
+                if not waited:
+                    self.loop.give_way()
+                waited = False
+                continue
             self._in += data
             self.received += len(data)
             self.heard_at, self.pieces = time.monotonic(), self.pieces + 1
@@ -317,9 +338,10 @@
 
     def write(self, data: bytes) -> None:
         """Send now what the socket takes and keep the rest for later."""
-        if self.closed:
+        if self.closed or self.ending:
             return
         if not self._out:
+            self.moved_at = time.monotonic()
             try:
                 data = data[self.sock.send(data) :]
             except BlockingIOError:
@@ -345,24 +367,58 @@
                 sent = self.sock.send(self._out)
                 del self._out[:sent]
                 self.loop.unsent -= sent
+                self.moved_at = time.monotonic()
             except BlockingIOError:
                 continue
             except OSError:
                 self._fail()
         self._flusher = None
+        if self.ending:
+            self._half_close()
 
     def _fail(self) -> None:
         self.failed = True
         self.close()
 
-    def finish(self) -> None:
-        """Close so that what was written still arrives: bytes that were not read would turn the close to a reset."""
+    def deafen(self) -> None:
+        """Hand out nothing that comes from now on; whoever reads here goes on reading, and drops it."""
+        self.deaf = True
+        self._in.clear()
+
+    def _drop(self, size: int) -> bool:
+        """Count bytes that are dropped; False where no more are read."""
+        self._dropped += size
+        if self._dropped > LINGER_MOST or (self.ended and self.ending and not self._out):
+            self.close()
+        return not (self.closed or self.ended)
+
+    def finish(self, within: float = LINGER_S) -> None:
+        """Send what was written, say that nothing follows, and close when the peer has ended too, or after a while.
+
+        Guards what is on its way: the system turns a close over bytes that nobody read into a reset, which takes
+        answers along that the peer has not read. What comes meanwhile reaches nobody here, so the peer may send it
+        again elsewhere. Whoever reads the stream goes on; see ``linger`` where nobody would.
+        """
+        if self.closed or self.ending:
+            return
+        self.deafen()
+        self.ending = True
+        self.loop.later(within, self.close)
+        if not self._out:
+            self._half_close()
+
+    def _half_close(self) -> None:
         if not self.closed:
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
-                while self.sock.recv(self.chunk):
-                    pass
-            self.close()
+            if self.ended:
+                self.close()
+
+    def linger(self, within: float = LINGER_S) -> None:
+        """Finish, and wait here until the stream is closed."""
+        self.finish(within)
+        if not self.ended:
+            self._receive(None)
 
     def close(self) -> None:
         """Close the socket and wake whoever waits for it."""
--- a/lapispick/host/ops.py
+++ b/lapispick/host/ops.py
@@ -30,7 +30,7 @@
     def __init__(self, loop: Loop, listen: tuple[str, int], most: int, calls: dict[str, Call],
                  worded: Worded | None = None) -> None:
         self._loop, self._most, self._calls, self._worded = loop, most, calls, worded
-        self._open: dict[Stream, float] = {}  # those who have not been answered, with the time when they came
+        self._open: dict[Stream, float] = {}  # with the time when each came; 0 = it has its answer
         family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
         self._sock = socket.socket(family, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -64,7 +64,7 @@
             self._loop.spawn(self._talk, stream, urgent=True)
 
     def _make_room(self) -> bool:
-        """Close whoever has been silent for longest."""
+        """Close whoever has had an answer, or has been silent for longest."""
         if not self._open:
             return False
         oldest = min(self._open, key=self._open.__getitem__)
@@ -79,15 +79,13 @@
             if stream.closed:
                 return
             stream.write("\n".join([*self._answer(line), ""]).encode())
-            self._open.pop(stream, None)
-            while stream.unsent and not stream.closed:
-                self._loop.sleep(0.01)
         except Overlong:
             stream.write(f"ERR a call has at most {LONGEST} bytes\n".encode())
         finally:
             watch.cancel()
+            self._open[stream] = 0.0  # it has its answer, and makes room before all who have none
+            stream.linger(CALL_S)
             self._open.pop(stream, None)
-            stream.finish()
 
     def _answer(self, line: bytes | None) -> list[str]:
         if line is None:
--- a/lapispick/host/room.py
+++ b/lapispick/host/room.py
@@ -3,7 +3,7 @@
 A connection with an open request is never closed for room, nor one whose bytes wait unread in the system; the front
 looks before it closes. Of the others the least loss goes first, the longest quiet of each kind:
 
-1. a peer that was at fault;
+1. a peer that was at fault, has had our last word, or stopped reading its answers;
 2. one that never said a thing: a true request is begun at once;
 3. one that stopped in the middle of a message: a slow link still brings a few bytes, who never ends brings none;
 4. one that was served and is idle: its gateway opens another at the price of a handshake;
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -136,6 +136,7 @@
         self.heard = []
         self.work_s, self.slots = work_s, threading.Semaphore(cores)
         self.forgetful = False  # sends all notices again on a new link
+        self.kept = 4000  # notices; those before them are not told again
         self.deaf = False  # reads commands and does nothing, like a link about to break
         super().__init__()
 
@@ -164,7 +165,7 @@
         if not self.up:
             return
         self.send(link, verb="WELCOME", outcome="hot", spent=1000)
-        for notice in self.notices[0 if self.forgetful else command["index"]:]:
+        for notice in self.notices[0 if self.forgetful else command["index"]:][-self.kept:]:
             self.send(link, **notice)
 
     def come_up(self):
@@ -267,6 +268,12 @@
                 if link in self.used:
                     link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                     return
+            if body == "hang up" and link in self.used:  # ends in the moment in which the next call is written
+                return
+            if body.startswith("cut "):  # a good reply that ends after so many bytes
+                link.sendall((OK + b"Content-Length: 5\r\n\r\nreply")[:int(body[4:])])
+                return
+            body = "200" if body == "hang up" else body
             self.used.add(link)
             if body in SPOILT:
                 for part in SPOILT[body]:
@@ -385,14 +392,14 @@
     """The real program as a process, with stand-ins for its peers."""
 
     def __init__(self, folder, stop_ms=1500, environ=None, info=None, ready=True, cwd=None, listen="127.0.0.1:0",
-                 started=True, without=(), **peers):
+                 started=True, without=(), limits=None, **peers):
         self.executor = peers.get("executor") or Executor()
         self.store = peers.get("store") or Store()
         self.roster = peers.get("roster") or Roster()
         self.config = {
             "name": "n3", "listen": listen, "executor": self.executor.at, "roster": self.roster.at,
             "store": self.store.at, "seed": "8c1f30d27a5be964", "stop_ms": stop_ms, "ops": "127.0.0.1:0",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": info or INFO}
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, **(limits or {})}, "settings": info or INFO}
         self.config = {key: value for key, value in self.config.items() if key not in without}
         self.folder = folder
         self.path = path = folder / f"config{len(list(folder.glob('config*.json'))) or ''}.json"
@@ -462,6 +469,18 @@
     def leave(self):
         self.process.send_signal(signal.SIGTERM)
 
+    @contextlib.contextmanager
+    def stopped(self):
+        """Stop the process: what is sent meanwhile waits in the system, and all of it is there when it goes on."""
+        self.process.send_signal(signal.SIGSTOP)
+        until(lambda: "(stopped)" in self._status(), "the stop")
+        yield
+        self.process.send_signal(signal.SIGCONT)
+
+    def _status(self):
+        with open(f"/proc/{self.process.pid}/status") as file:
+            return file.read()
+
     def close(self):
         self.process.kill()
         self.process.wait()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,357 @@
+"""Two events that cross, forced into the bad order each time: `docs/CROSSINGS.md` lists them.
+
+The process is stopped while bytes are written to it, or a stand-in holds back what it owes; nothing waits for luck.
+"""
+
+import contextlib
+import copy
+import json
+import os
+import socket
+import time
+import uuid
+
+import pytest
+
+from lapispick.handover import messages as say
+from lapispick.standins.peers import INFO, Executor, Gateway, b64, until
+from tests.test_upgrade import fixed  # noqa: F401
+
+REFUSED, FAILED = -32050, -32000
+
+
+def nonce():
+    return uuid.uuid4().hex
+
+
+def settings(services=(), **family):
+    """Return the usual settings with changes of classes, by their place, and of the server's own properties."""
+    info = copy.deepcopy(INFO)
+    for service, changes in zip(info["Services"], services, strict=False):
+        service.update(changes)
+    info["FamilyInfo"].update(family)
+    return info
+
+
+def ended(g):
+    """Read what is left on a connection; True where it ends in order, without a reset."""
+    with contextlib.suppress(AssertionError):
+        while True:
+            g.read()
+    return g.file.read() == b""
+
+
+def last_id(g):
+    return max(number for number in g.answers if number)
+
+
+# The notice to leave.
+
+
+@pytest.mark.parametrize("stop_ms", [300, 1500])
+def test_all_that_waits_in_the_system_at_the_notice_is_answered(host, stop_ms):
+    h = host(stop_ms=stop_ms, limits={"sockets": 1024})
+    resting, half = h.gateway(), h.gateway()
+    assert resting.result(resting.request("track", "before")) == "did before"
+    whole = half.line("track", "half") + b"\n"
+    half.sock.sendall(whole[:40])
+    with h.stopped():
+        asked = resting.request("track", "unread")
+        backlog = [h.gateway() for _ in range(300)]
+        numbers = [g.request("track", "queued") for g in backlog]
+        half.sock.sendall(whole[40:])
+        h.leave()
+    for g, n in [(resting, asked), (half, 1), *zip(backlog, numbers, strict=True)]:
+        answer = g.answer(n)
+        assert "result" in answer or answer["error"]["code"] == REFUSED
+    assert h.process.wait(5) == 0 and "owed=0" in h.log().split("event=ended")[1]
+
+
+def test_a_connection_that_the_end_of_the_process_closes_took_nothing(host):
+    h = host(stop_ms=700)
+    g = h.gateway()
+    assert g.result(g.request("track", "before")) == "did before"
+    h.leave()
+    assert ended(g)  # an end in order and no reset, and then the process takes nothing more
+    with contextlib.suppress(OSError):
+        g.request("book", "behind the end", nonce())
+    assert h.process.wait(5) == 0 and not h.executor.ran("behind the end")
+
+
+def test_the_keys_are_handed_over_only_after_the_last_connection_takes_nothing(host, fixed, tmp_path):  # noqa: F811
+    old = host(listen=fixed(), stop_ms=2000)
+    g = old.gateway()
+    assert g.result(g.request("track", "before")) == "did before"
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.connect(str(next(tmp_path.glob("lapispick-*.sock"))))
+        sock.sendall(say.encode(say.Hello(say.VERSION, "n3", old.config["listen"], "passed")))
+        _, fds, _, _ = socket.recv_fds(sock, 1, 1)
+        os.close(fds[0])
+        old.leave()
+        lines = sock.makefile("rb")
+        while not isinstance(say.decode(lines.readline()), say.Done):
+            pass
+        g.sock.setblocking(False)
+        said = b""
+        while data := g.sock.recv(4096):  # would block on a connection that still takes requests
+            said += data
+        assert b"goaway" in said
+    assert old.process.wait(5) == 0
+
+
+def test_a_second_notice_and_a_reload_change_nothing_of_the_first(host):
+    h = host(stop_ms=2500)
+    g = h.gateway()
+    number = g.request("book", "hold", nonce())
+    until(lambda: h.executor.runs, "the run")
+    h.leave()
+    h.logged("leaving")
+    h.reload(stop_ms=60_000)
+    h.leave()
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert g.result(number) == "booked"
+    assert h.process.wait(5) == 0 and h.log().count("event=leaving") == 1
+
+
+def test_a_host_that_leaves_before_its_executor_is_up_never_takes_anything(host):
+    late = Executor(up=False)
+    h = host(executor=late, ready=False, stop_ms=1500)
+    g = h.gateway()
+    h.leave()
+    h.logged("leaving")
+    until(lambda: late.commands, "the first message")
+    late.come_up()
+    h.logged("link-up")
+    assert g.code(g.request("track", "late")) == REFUSED
+    assert g.answer(g.send("probe"))["result"]["healthy"] is False
+    assert h.process.wait(5) == 0 and not late.runs
+
+
+# The close of a connection.
+
+
+def test_a_close_over_bytes_that_nobody_reads_takes_no_word_along(host):
+    h = host()
+    for behind in (b"{}", b"x" * 60_000):
+        g = h.gateway()
+        held = g.request("track", "hold")
+        until(lambda: h.executor.ran("hold"), "the run")
+        with h.stopped():
+            g.sock.sendall(b"not JSON\n" + behind)
+        assert g.code(held) == FAILED and ended(g)
+        h.executor.runs.clear()
+
+
+ANSWER = len('{"jsonrpc":"2.0","id":1000,"result":{"doc":"","advice":0}}' + b64("did " + "x" * 2000))  # bytes
+
+
+def slow_reader(h):
+    """Return a gateway that reads nothing, when answers wait for it in the program itself, and how many it asked."""
+    g = Gateway.__new__(Gateway)
+    host, port = h.at.split(":")
+    g.sock = socket.socket()
+    g.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    g.sock.connect((host, int(port)))
+    g.file, g.last, g.answers, g.away = g.sock.makefile("rb"), 0, {}, False
+    mine = g.sock.getsockname()[1]
+
+    def in_system():
+        with open("/proc/net/tcp") as file:
+            rows = [line.split() for line in file.read().splitlines()[1:]]
+        ends = [[row[4].split(":")[side] for row in rows if int(row[2 - side].split(":")[1], 16) == mine]
+                for side in (0, 1)]  # what the program wrote and nobody took, and what the gateway has not read
+        return sum(int(size, 16) for sizes in ends for size in sizes)
+
+    waits = 0
+    while waits < 60_000:  # of the 256 KB that are kept for a slow reader; a round of requests has 80,000
+        for _ in range(30):
+            g.request("track", "x" * 2000)
+        figures = until(lambda: (now := h.figures())["inflight"] == 0 and g.last == sum(
+            n for name, n in now.items() if name.endswith(".track")) and now, "the answers")
+        waits = figures["success.track"] * ANSWER - in_system()
+    return g
+
+
+def test_a_gateway_that_ended_its_side_gets_all_answers_however_slowly_it_reads(host):
+    h = host()
+    g = slow_reader(h)
+    g.sock.shutdown(socket.SHUT_WR)
+    until(lambda: h.figures(), "a round of the loop")
+    g.answer(g.last)
+    assert sorted(g.answers) == list(range(1, g.last + 1)) and ended(g)
+
+
+def test_answers_that_a_slow_reader_has_not_taken_are_no_reason_to_close_for_room(host):
+    h = host(limits={"sockets": 64})
+    g = slow_reader(h)
+    others = []  # more than there is room for, each served and idle
+    for _ in range(42):
+        others.append(h.gateway())
+        others[-1].answer(others[-1].request("track", "busy"))
+    g.answer(g.last)
+    assert sorted(g.answers) == list(range(1, g.last + 1))
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_answered(host):
+    h = host(info=settings(Idle=300.0))
+    g = h.gateway()
+    assert g.result(g.request("track", "before")) == "did before"
+    until(lambda: g.read() and g.away, "goaway")
+    with h.stopped():
+        since = time.monotonic()
+        until(lambda: time.monotonic() > since + 1.6, "the time of the close")
+        number = g.request("book", "crossing", nonce())
+    assert g.result(number) == "did crossing" and ended(g)
+
+
+def test_half_a_line_costs_the_connection_but_no_answer_that_is_owed_on_it(host):
+    h = host()
+    g = h.gateway()
+    number = g.request("book", "hold", nonce())
+    until(lambda: h.executor.runs, "the run")
+    g.sock.sendall(g.line("track", "never whole", 2)[:50])
+    assert g.read()["id"] is None  # its word, within 3 s
+    g.sock.sendall(b" and more of it\n" + g.line("track", "behind it", 3) + b"\n")
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert g.result(number) == "booked" and ended(g)
+    assert not h.executor.ran("behind it")
+
+
+# The executor.
+
+
+@pytest.mark.parametrize("effect", ["deduplicated", "at_most_once"])
+def test_a_start_of_an_effect_that_may_have_got_through_is_never_sent_again(host, effect):
+    h = host(info=settings([{}, {"Idempotency": effect}]))
+    g = h.gateway()
+    h.executor.deaf = True
+    read, write = g.request("track", "again"), g.request("book", "never", nonce(), patience=1500)
+    until(lambda: h.executor.heard.count("EXEC") == 2, "both were written")
+    h.executor.deaf = False
+    h.executor.cut()
+    assert g.result(read) == "did again"
+    assert g.code(write) != REFUSED and not h.executor.ran("never")
+
+
+def test_notices_that_the_executor_no_longer_has_cost_no_slot_for_good(host):
+    h = host()
+    g = h.gateway()
+    lost = []
+    for i in range(1, 9):  # as many as may ever run
+        lost.append(g.request("book", "hold", nonce(), patience=1500))
+        until(lambda i=i: len(h.executor.runs) == i, "the run")
+    h.executor.kept = 4
+    with h.executor.lock:
+        h.executor.cut()
+        for task, _, _ in h.executor.runs:
+            h.executor.end(task)
+        for _ in range(4):
+            h.executor.tell(verb="LOG", outcome="later")
+    assert all(g.code(n) == FAILED for n in lost)
+    began = time.monotonic()
+    assert g.result(g.request("track", "next")) == "did next" and time.monotonic() - began < 5
+    assert "event=notices-missed" in h.log()
+
+
+def test_a_stop_that_crosses_the_end_of_its_run_harms_nobody(host):
+    h = host()
+    g = h.gateway()
+    with h.stopped():
+        pass
+    for _ in range(12):  # more than may run at once: none keeps its slot
+        number = g.request("track", "hold", patience=2000)
+        until(lambda: h.executor.ran("hold"), "the run")
+        with h.stopped():
+            h.executor.end(h.executor.runs[-1][0], result="in time")
+            g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": number}}).encode())
+        g.answer(number)
+        h.executor.runs.clear()
+    assert g.result(g.request("track", "next")) == "did next"
+
+
+def test_commands_of_the_time_without_a_welcome_go_out_behind_it(host):
+    h = host()
+    g = h.gateway()
+    with h.executor.lock:
+        h.executor.up = False
+        h.executor.cut()
+    until(lambda: h.executor.heard.count("JOIN") == 2, "the new link")
+    numbers = [g.request("track", f"early{i}") for i in range(3)]
+    assert g.answer(g.send("probe"))["result"]["healthy"]
+    assert not h.executor.runs
+    h.executor.come_up()
+    assert [g.result(n) for n in numbers] == [f"did early{i}" for i in range(3)]
+
+
+# The store.
+
+
+def test_a_reply_that_is_cut_at_any_byte_ends_its_call_and_a_write_makes_no_second(host):
+    h = host()
+    g = h.gateway()
+    whole = len(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nreply")
+    for size in range(whole):
+        assert g.code(g.request("book", f"call:cut {size}", nonce())) == FAILED
+    assert g.result(g.request("book", f"call:cut {whole}", nonce())) == "reply"
+    assert [c[2] for c in h.store.calls] == [f"cut {size}" for size in range(whole + 1)]
+
+
+def test_a_kept_connection_that_ends_as_the_call_is_written_costs_no_call(host):
+    h = host(info=settings(ClassSkipWorth=[0.0, 0.0]))
+    g = h.gateway()
+    asked = []
+
+    def met():
+        asked.append(g.result(g.request("track", "call:hang up")))
+        return len(h.store.calls) > len(asked)
+
+    until(met, "a call that met the end of its connection, and was made once more")
+    assert all(result.startswith("reply") for result in asked)
+
+
+# Repeats.
+
+
+def test_a_repeat_behind_a_give_up_joins_the_run_that_goes_on(host):
+    h = host()
+    g, key = h.gateway(), nonce()
+    first = g.request("book", "hold", key)
+    until(lambda: h.executor.runs, "the run")
+    with h.stopped():
+        g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": first}}).encode())
+        again = g.request("book", "hold", key, redo=1)
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert g.result(again) == "booked" and len(h.executor.runs) == 1
+
+
+@pytest.mark.parametrize("window", [200.0, 3000.0])
+def test_a_repeat_in_the_instant_of_the_end_gets_the_result_whatever_the_window(host, window):
+    h = host(info=settings([{}, {"Window": window}]))
+    g, key, born = h.gateway(), nonce(), time.time() * 1000
+    first = g.request("book", "hold", key, born=born)
+    until(lambda: h.executor.runs, "the run")
+    until(lambda: time.time() * 1000 > born + 400, "the end of the short window")
+    with h.stopped():
+        h.executor.end(h.executor.runs[0][0], result="booked")
+        within = g.request("book", "hold", key, born=born + min(window, 400) - 1, redo=1)
+    assert g.result(first) == g.result(within) == "booked" and len(h.executor.runs) == 1
+
+
+# Discovery.
+
+
+def test_a_drain_that_ends_at_once_leaves_the_roster_with_the_last_word(host):
+    h = host()
+    until(lambda: h.roster.reports, "the first report")
+    with h.stopped():
+        calls = []
+        for word in (b"drain-on\n", b"drain-off\n"):
+            name, port = h.ops.split(":")
+            calls.append(socket.create_connection((name, int(port)), timeout=15))
+            calls[-1].sendall(word)
+    for call in calls:
+        assert call.makefile("rb").read() == b"OK\n"
+        call.close()
+    seen = len(h.roster.reports)
+    until(lambda: len(h.roster.reports) > seen + 12, "reports of three periods")
+    assert {word for _, word in h.roster.reports[-3:]} == {"HERE n3 on"} and "event=drain-off" in h.log()
