Hold a key while its try is held, and leave descriptors for links however small the limit is

- A try held past a short window (KeyTable.at knew the window only, in core.py _arrived).
A later request of the same key took its place as a new one, and one from inside the window, read last, could then run beside it.
A try that is held is repeated by whatever names its key.
- Who had joined such a try waited until its own due time where it was turned away, as the module had let the key go (control.py expire) and said nothing.
The core answers them when the holder is over.
The start command ignores it until then.
- With limits.sockets under 192 clients, calls and operators could take more descriptors than there are: the eighth that is left for links is 8 of 64. 16 are kept at any limit now; from 192 on nothing changes.
- A handover link that could not be accepted was tried without a pause.
- A roster that moves to the other address family was not reported to: its socket is opened anew.

Ruled out: the module's own table (it never runs what the core does not let it), the budget of an upgrade (it divides what is there).

--- a/lapispick/host/__main__.py
+++ b/lapispick/host/__main__.py
@@ -315,7 +315,7 @@
 def main() -> int:
     """Start from the environment; 2 for a faulty configuration."""
     setup()
-    signals = Signals()  # first of all: a SIGHUP before this would end the process
+    signals = Signals()  # first of all; until here the start command ignores SIGHUP, which would end the process
     try:
         config, own = load(), _own_settings()
         logging.getLogger().setLevel(own.log.level.upper())
--- a/lapispick/host/config.py
+++ b/lapispick/host/config.py
@@ -17,6 +17,9 @@
 from lapispick.settings import ADVERTS, EFFECTS, HALTS, Info, settings_from
 
 Address = tuple[str, int]
+# descriptors that neither clients, calls nor operators may take: the standard streams, the signals' pair, listeners,
+# the executor's link and its successor, the roster, a file that is read, and an upgrade's folder, locks and sockets
+OWN = 16
 
 
 class ConfigError(Exception):
@@ -33,12 +36,12 @@
     @property
     def connections(self) -> int:
         """Gateways' connections: they open half of the limit at most; in the rest others are shown out."""
-        return self.sockets * 5 // 8
+        return min(self.sockets * 5 // 8, self.sockets - self.calls - self.operators - OWN)
 
     @property
     def calls(self) -> int:
         """Connections to the store; an eighth is left for listener, links and what the system holds."""
-        return self.sockets // 4
+        return min(self.sockets // 4, self.sockets // 2 - self.operators - OWN)
 
     @property
     def brokers(self) -> int:
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -199,6 +199,11 @@
     token: int
 
 
+class _HolderOver(NamedTuple):
+    key: Key
+    holder: int
+
+
 class _JoinOver(NamedTuple):
     task: Task
     outcome: Outcome
@@ -312,6 +317,7 @@
             PeerUp: self._peer_up, PeerSaid: self._peer_said, PeerLost: self._peer_lost,
             _Settled: self._settled, _SnapshotDue: self._snapshot_due,
             Departing: self._departing, Drained: self._drained, _TimerDue: self._timer_due, _JoinOver: self._join_over,
+            _HolderOver: self._holder_over,
         }
         self._doers: dict[type, Callable[[Any], None]] = {
             api.Run: self._run, api.Stop: self._stop, api.Refuse: self._refuse, api.Fail: self._fail,
@@ -397,6 +403,11 @@
         key = self.table.at(request.key, request.born) if request.key is not None else None
         if key is not None and not key.over and not key.ran and key.holder not in self._tasks:
             key = None
+        if key is None and request.key is not None:
+            # A try that is still held is repeated however short the window: it may run at any moment, and its window,
+            # which goes back to when it came, would then hold what was taken for another request.
+            held = self.table.get(request.key)
+            key = held if held is not None and not held.ran and held.holder in self._tasks else None
         if key is None and request.known_only:
             return self._send(request, Answer(FAILED))
         prior, what = (key.holder, key.what) if key is not None else (0, None)
@@ -516,6 +527,11 @@
             events.append(api.RunEnded(item.task.id, item.outcome, 0.0))
         self._release(item.task)
 
+    def _holder_over(self, item: _HolderOver, events: list[api.Event]) -> None:
+        """Answer those who joined a try that never ran, unless another one stands for its key by now."""
+        if item.key.holder == item.holder and not item.key.ran:
+            self.sharing.free(item.key)
+
     def _departing(self, item: Departing, events: list[api.Event]) -> None:
         if self.duty.leaving:
             return
@@ -791,6 +807,8 @@
             del self._tasks[task.id], self._by_tag[task.request.tag]
             if task.key is not None and task in task.key.joined:
                 task.key.joined.remove(task)
+            elif task.key is not None and task.key.joined and task.key.holder == task.id and not task.key.ran:
+                self.post(_HolderOver(task.key, task.id))  # the module has let a key go by whose window was shorter
 
     def _sweep(self) -> None:
         """Drop entries that ran out so long ago that no repeat of their time can still be unread."""
--- a/lapispick/host/handover.py
+++ b/lapispick/host/handover.py
@@ -159,7 +159,9 @@
             if self._loop.wait(sock.fileno(), READ):
                 try:
                     link, _ = sock.accept()
-                except OSError:
+                except OSError as err:  # out of descriptors, say: it goes on waiting in the system
+                    log(LOG, logging.WARNING, "link-refused", error=err)
+                    self._loop.sleep(RETRY_S)
                     continue
                 self._loop.spawn(self._greet, self._stream(link))
 
--- a/lapispick/host/roster.py
+++ b/lapispick/host/roster.py
@@ -19,9 +19,13 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], name: str) -> None:
         self._loop, self._address, self._name, self._on = loop, address, name, True
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._sock = socket.socket(family, socket.SOCK_DGRAM)
-        self._sock.setblocking(False)
+        self._sock = self._opened()
+
+    def _opened(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        return sock
 
     def set(self, on: bool) -> None:
         """Report this state from now on."""
@@ -33,6 +37,8 @@
         """Report to a new address from now on."""
         if address != self._address:
             self._address = address
+            old, self._sock = self._sock, self._opened()  # the new one may be of the other family
+            old.close()
             self._report_change()
 
     def _report_change(self) -> None:
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -392,7 +392,8 @@
     """The real program as a process, with stand-ins for its peers."""
 
     def __init__(self, folder, stop_ms=1500, environ=None, info=None, ready=True, cwd=None, listen="127.0.0.1:0",
-                 started=True, without=(), limits=None, **peers):
+                 started=True, without=(), limits=None, command=(sys.executable, "-m", "lapispick.host"),
+                 **peers):
         self.executor = peers.get("executor") or Executor()
         self.store = peers.get("store") or Store()
         self.roster = peers.get("roster") or Roster()
@@ -406,7 +407,7 @@
         path.write_text(json.dumps(self.config))
         self.log_path = path.with_suffix(".log")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "lapispick.host"], stderr=self.log_path.open("w"), cwd=cwd,
+            command, stderr=self.log_path.open("w"), cwd=cwd,
             env={**os.environ, "LB_CONFIG": str(path), **(environ or {})})
         self.at = listen
         if not started:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,8 +9,11 @@
 import os
 import signal
 import socket
+import sys
 import time
+import tomllib
 import uuid
+from pathlib import Path
 
 import pytest
 
@@ -158,6 +161,22 @@
     assert h.process.wait(5) == 0 and not late.runs
 
 
+def test_a_reload_while_the_program_still_loads_does_not_end_it(host, tmp_path):
+    (tmp_path / "msgspec.py").write_text(  # stands in front of the real one, which it loads behind the signal
+        "import signal, sys\n"
+        "signal.raise_signal(signal.SIGHUP)\n"
+        f"sys.path.remove({str(tmp_path)!r})\n"
+        "del sys.modules['msgspec']\n"
+        "import msgspec\n"
+        "sys.modules['msgspec'] = msgspec\n")
+    run = tomllib.loads(Path("deploy/balancer.toml").read_text())["run"]
+    h = host(environ={"PYTHONPATH": str(tmp_path)},
+             command=["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)])
+    g = h.gateway()
+    assert g.result(g.request("track", "alive")) == "did alive"
+    h.reload()
+
+
 # The close of a connection.
 
 
@@ -368,6 +387,47 @@
     assert g.result(first) == g.result(within) == "booked" and len(h.executor.runs) == 1
 
 
+def full_of_runs(h, g):
+    """Let as many runs be under way as there may ever be."""
+    for i in range(1, 9):
+        g.request("track", "hold")
+        until(lambda i=i: len(h.executor.runs) == i, "the run")
+
+
+def end_all(h):
+    for task, _, _ in list(h.executor.runs):
+        h.executor.end(task)
+
+
+def test_a_try_that_is_held_past_a_short_window_still_runs_once_for_all_its_repeats(host):
+    h = host(info=settings([{}, {"Window": 200.0}]))
+    g, key = h.gateway(), nonce()
+    full_of_runs(h, g)
+    born = time.time() * 1000
+    first = g.request("book", "once", key, born=born, patience=4000)
+    g.answer(g.send("probe"))  # what was written before this is read
+    until(lambda: time.time() * 1000 > born + 600, "the end of the window")
+    behind = g.request("book", "once", key, born=born + 300, patience=4000, redo=1)
+    within = g.request("book", "once", key, born=born + 150, patience=4600, redo=1)  # read after one that came later
+    g.answer(g.send("probe"))
+    end_all(h)
+    assert [g.result(n) for n in (first, behind, within)] == ["did once"] * 3
+    assert len(h.executor.ran("once")) == 1
+
+
+def test_who_joined_a_try_that_is_turned_away_unrun_is_answered_at_once(host):
+    h = host(info=settings([{}, {"Window": 200.0}]))
+    g, key = h.gateway(), nonce()
+    full_of_runs(h, g)
+    born = time.time() * 1000
+    first = g.request("book", "once", key, born=born, patience=1200)
+    g.answer(g.send("probe"))
+    until(lambda: time.time() * 1000 > born + 600, "the end of the window")
+    again = g.request("book", "once", key, born=born + 150, patience=4500, redo=1)
+    assert g.code(first) == REFUSED and g.code(again) in (REFUSED, FAILED)
+    assert time.time() * 1000 < born + 2500 and not h.executor.ran("once")  # long before its own time is over
+
+
 # Discovery.
 
 
