--- a/lapispick/host/amqp/session.py
+++ b/lapispick/host/amqp/session.py
@@ -116,8 +116,8 @@
             self._stream.close()
 
     def _drop(self) -> None:
-        if self._stream is not None:
-            self._stream.close()
+        if self._stream is not None:  # a close over what the broker still sends would reset our last frames away
+            self.loop.spawn(self._stream.linger)
         self._stream, self.channels, self._handshaken = None, {}, False
         if self._opened:
             self._opened = False
--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -72,7 +72,7 @@
 
     def __init__(self):
         self.lock = threading.RLock()
-        self.links = []
+        self.links, self.resets = [], 0
         self.listen()
 
     def listen(self):
@@ -100,6 +100,8 @@
     def _guarded(self, link):
         try:
             self.talk(link)
+        except ConnectionResetError:
+            self.resets += 1
         except (OSError, ValueError, codec.CodecError):
             pass
         finally:
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -230,6 +230,15 @@
     assert h.broker.methods.count("connection.open") == 2
 
 
+def test_the_last_word_to_a_broker_is_not_reset_away_by_what_it_still_sends(edge):
+    h = edge()
+    with h.stopped(), h.broker.lock:
+        h.broker.put("jobs", "x", raw=lambda n: codec.encode_frame(codec.BODY, n, b"early") + b"x" * 150_000)
+    until(lambda: "connection.close" in h.broker.methods, "the last word")
+    until(lambda: h.log().count("event=connected") == 2, "a new connection")
+    assert h.broker.resets == 0
+
+
 def test_malformed_properties_cost_the_message_only(edge):
     h = edge()
     bad = h.broker.put("jobs", "x", raw=lambda n: codec.encode_frame(
