Test that what an executor says in a fault changes nothing else

Fourteen lines, malformed, unknown, of no run or out of place: each gets the log line that ONCALL names, the run that is under way and the next requests go on.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -355,6 +355,30 @@
     assert g.result(again) == "booked" and len(executor.runs) == 1
 
 
+FAULTY = [  # what an executor may say in a fault, and the line that ONCALL names for it, if it deserves one
+    (b"not JSON", "notice-malformed"), (b"[1]", "notice-malformed"), (b'{"verb":7}', "notice-malformed"),
+    (b'{"verb":"EXIT","index":"x"}', "notice-malformed"), (b'{"verb":"METERS","readings":["a"]}', "notice-malformed"),
+    (b'{"verb":"SING"}', "notice-unknown"), (b'{"verb":"BAD","outcome":"EXEC","task":"none"}', "command-refused"),
+    (b'{"verb":"EXIT","task":"none","outcome":"complete"}', ""), (b'{"verb":"CALLOUT","task":"none"}', ""),
+    (b'{"verb":"METERS","nonce":"tick","readings":[]}', ""), (b'{"verb":"DIAGNOSED","nonce":"none"}', ""),
+    (b'{"verb":"WELCOME","outcome":"chilly","spent":5}', "link-up"), (b"\xff\xfe", "notice-malformed"), (b"", "")]
+
+
+def test_what_an_executor_says_in_a_fault_changes_nothing_else(host):
+    h = host()
+    g = h.gateway()
+    held = g.request("book", "hold", nonce())
+    until(lambda: h.executor.runs, "the run")
+    for line, event in FAULTY:
+        before = h.log().count(f"event={event}")
+        h.executor.link.sendall(line + b"\n")
+        if event:
+            until(lambda e=event, n=before: h.log().count(f"event={e}") > n, f"{event} for {line!r}")
+        assert g.result(g.request("track", "as ever")) == "did as ever"
+    h.executor.end(h.executor.runs[0][0], result="booked")
+    assert g.result(held) == "booked" and h.log().count("event=ready") == 1
+
+
 # The store.
 
 
