Keep in doubt what a link lost when the next one breaks before its fence is answered

Seen by reading what a second break does to the first one's doubts, then forced: both starts are written to a link that reads nothing, the next link breaks with its fence unanswered, half a second later. The read was never sent again and failed at its due time; a lost write was not known to be in doubt and kept its slot for 15 s more.

Ruled out: the fence itself, the notices' numbers. At fault: executor.py _after_fence, which judged by the time of the last break only, so that what went with the first one counted as "got through". What a break may have lost is noted at the break now, by each command.

--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -47,7 +47,8 @@
 
     once: bool  # it must not begin twice
     command: dict[str, Any] | None
-    sent_at: float = 0.0  # when it was written to a link, which may have lost it; 0 = not yet
+    sent_at: float = 0.0  # when it was written to a link; 0 = not yet
+    doubtful: bool = False  # the link that it was written to may have lost it
 
 
 class ExecutorLink:
@@ -58,7 +59,7 @@
         self._stream: Stream | None = None  # set while commands may be sent
         self._link: Stream | None = None  # set while a connection is open
         self._nap: Waiter | None = None  # set between two tries
-        self._pause, self._broke_at = BACKOFF_S[0], time.monotonic()
+        self._pause = BACKOFF_S[0]
         self._open: dict[str, Open] = {}
         self._index = 0
         self._checks = 0
@@ -117,7 +118,7 @@
     def _order(self, tag: str, command: dict[str, Any]) -> None:
         if (task := self._open.get(tag)) is None:
             return
-        task.command, task.sent_at = command, 0.0
+        task.command, task.sent_at, task.doubtful = command, 0.0, False
         if self._stream is not None:
             task.sent_at = time.monotonic()
             self._send(self._stream, command)
@@ -140,7 +141,8 @@
             except (OSError, Overlong) as err:
                 log(LOG, logging.WARNING, "link-failed", error=err)
             finally:
-                self._stream, self._broke_at = None, time.monotonic()
+                self._stream = None
+                self._broken(time.monotonic())
                 self._lose_checks()
                 if self._link is not None:
                     self._link.close()
@@ -198,26 +200,32 @@
         self._send(stream, {"verb": "METER", "nonce": FENCE})
         self._stream, self._pause = stream, BACKOFF_S[0]
 
+    def _broken(self, now: float) -> None:
+        """Note at once which commands went with the link: it may break again before the next fence is answered."""
+        for task in self._open.values():
+            if task.command is None or not task.sent_at or task.doubtful:
+                continue
+            if task.sent_at < now - UNSURE_S:
+                task.command = None  # it got through: a second copy could only do harm
+            else:
+                task.doubtful = True
+
     def _after_fence(self) -> None:
         """Send again what the old link may have lost, but no start of an effect that may have got through."""
         for tag, task in list(self._open.items()):
-            if task.command is None or self._stream is None:
-                continue
-            if task.sent_at and task.sent_at < self._broke_at - UNSURE_S:
-                task.command = None  # it got through: a second copy could only do harm
-            elif task.sent_at >= self._broke_at:
-                pass  # it went out on this link, ahead of the fence
-            elif task.sent_at and task.once and task.command["verb"] == "EXEC":
+            if task.command is None or self._stream is None or (task.sent_at and not task.doubtful):
+                continue  # what was sent and is not in doubt went out on this link
+            if task.doubtful and task.once and task.command["verb"] == "EXEC":
                 task.command = None
                 self._post(core.RunUnsure(tag))
             else:
-                task.sent_at = time.monotonic()
+                task.sent_at, task.doubtful = time.monotonic(), False
                 self._send(self._stream, task.command)
 
     def _carried_out(self) -> None:
         """Note that the executor has read all that was sent to the link which is being left."""
         for task in self._open.values():
-            if task.sent_at:
+            if task.sent_at and not task.doubtful:
                 task.command = None
         if self._link is not None:
             self._link.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -355,6 +355,23 @@
     assert g.result(again) == "booked" and len(executor.runs) == 1
 
 
+def test_a_link_that_breaks_twice_before_its_fence_is_answered_loses_no_start(host):
+    h = host()
+    g = h.gateway()
+    h.executor.deaf = True
+    read, write = g.request("track", "again"), g.request("book", "once", nonce(), patience=3000)
+    until(lambda: h.executor.heard.count("EXEC") == 2, "both were written")
+    sent = time.monotonic()
+    h.executor.deaf, h.executor.fences = False, []
+    h.executor.cut()
+    until(lambda: h.executor.fences, "the second link")
+    until(lambda: time.monotonic() > sent + 0.8, "the time after which a start counts as read")
+    h.executor.fences = None
+    h.executor.cut()
+    assert g.result(read) == "did again"
+    assert g.code(write) == FAILED and not h.executor.ran("once")
+
+
 FAULTY = [  # what an executor may say in a fault, and the line that ONCALL names for it, if it deserves one
     (b"not JSON", "notice-malformed"), (b"[1]", "notice-malformed"), (b'{"verb":7}', "notice-malformed"),
     (b'{"verb":"EXIT","index":"x"}', "notice-malformed"), (b'{"verb":"METERS","readings":["a"]}', "notice-malformed"),
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -35,6 +35,7 @@
     "doubled": [("host/clients.py", '(_encode({"jsonrpc": "2.0", "id": number, member: fields}) + b"\\n")',
                  '(2 * (_encode({"jsonrpc": "2.0", "id": number, member: fields}) + b"\\n"))')],
     "twice": [("host/core.py", "key = self.table.at(request.key, request.born) if", "key = None if"),
+              ("host/core.py", "held = self.table.get(request.key)", "held = None"),
               ("host/core.py", "key.ran not in (0, ELSEWHERE)", "key.ran == -9"),
               ("host/core.py", "verdict = self.sharing.claim(", "verdict = Verdict.RUN if True else (")],
     "changed": [("host/core.py", REPLY,
