--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -133,6 +133,21 @@
     assert old.process.wait(5) == 0
 
 
+def test_the_word_that_a_successor_serves_counts_in_the_instant_of_the_notice(host, fixed, tmp_path):  # noqa: F811
+    old = host(listen=fixed(), stop_ms=1500)
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.connect(str(next(tmp_path.glob("lapispick-*.sock"))))
+        sock.sendall(say.encode(say.Hello(say.VERSION, "n3", old.config["listen"])))
+        _, fds, _, _ = socket.recv_fds(sock, 1, 1)
+        old.logged("linked")
+        with old.stopped():
+            old.leave()
+            sock.sendall(say.encode(say.Serving()))
+        old.logged("leaving")
+        assert "handed=True" in old.log() and old.process.wait(5) == 0
+        os.close(fds[0])
+
+
 def test_a_second_notice_and_a_reload_change_nothing_of_the_first(host):
     h = host(stop_ms=2500)
     g = h.gateway()
