Keep a connection whose whole message was received and not taken yet

Seen by reading: a reader that got bytes without waiting gives way before it takes them (loop.py _receive). In that turn the front may look for room, or for idle connections; Connection.standing knew only what was taken, and the system's buffer was empty, so a connection could be closed over a request that had been read.

Ruled out: lines that are parsed and not handed over (_fresh), half a line (its own ranks).

Now such a message counts as open, and an idle connection that holds bytes is not closed. The test puts a message into the buffer of the front's own connection; it fails with either guard out. Not forced on the whole program: the order of one round can't be set from outside.

--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -203,7 +203,8 @@
         """Return what decides whether this connection is kept."""
         part = self.stream.unread > 0 and not self.stream.holds_line()
         stopped = self.stream.unsent > 0 and time.monotonic() - self.stream.moved_at > STOPPED_S
-        owed = bool(self.open or self._fresh or (self.stream.unsent and not stopped))
+        # A message that was received whole and has not had its turn yet is as good as open.
+        owed = bool(self.open or self._fresh or self.stream.holds_line() or (self.stream.unsent and not stopped))
         return room.Standing(self.since, self.used_at, self.stream.heard_at, self.stream.pieces,
                              (self.part_since or self.stream.heard_at) if part else 0.0, owed,
                              self.proven, self.faults > 0 or self.stream.ending or stopped)
@@ -492,5 +493,5 @@
             elif not (c.open or c.stream.unsent) and self._idle_s and now - c.used_at > self._idle_s:
                 # First goaway, so that a request that crosses the close is not lost; then the gateway closes.
                 c.goaway()
-                if now - c.used_at > self._idle_s + CLOSE_S and not c.stream.waiting():
+                if now - c.used_at > self._idle_s + CLOSE_S and not (c.stream.unread or c.stream.waiting()):
                     c.finish()
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -82,6 +82,19 @@
     assert front._make_room() and silent.stream.closed and not kept.stream.closed
 
 
+def test_a_message_that_was_received_whole_keeps_its_connection_until_it_is_taken(front):
+    front.client().sendall(b'{"jsonrpc":"2.0"}\n')
+    (kept,) = front.connections
+    select.select([kept.stream.sock], [], [], 5)
+    kept.stream.loop.give_way = lambda: None
+    kept.stream._receive(None)  # in the buffer, and its reader gives way to others before it takes it
+    assert not kept.stream.waiting() and not front._make_room() and not kept.stream.closed
+    kept.used_at -= 60
+    front.limit_idle(100.0)
+    front._sweep()
+    assert not kept.stream.ending and not kept.stream.closed
+
+
 def test_a_listener_that_is_closed_between_its_wake_and_its_turn_is_let_be(front):
     front.loop.wait = lambda fd, event: front.close_listener(passed=True) is None
     front._accept = lambda sock: pytest.fail("a closed listener was asked")
