--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -280,9 +280,9 @@
         self._error(number, FAILED, "Given up", self.front.advice())
         self._settled()
 
-    def word(self, code: int, text: str) -> None:
-        """Tell the peer what is wrong with a message that can't be told by a number."""
-        self._error(None, code, text)
+    def word(self, text: str) -> None:
+        """Tell the peer what is wrong with a message that has no number yet."""
+        self._error(None, INVALID, text)
 
     def _fault(self, number: int | None, code: int, text: str, last: bool = False, **pairs: Any) -> None:
         """Answer what can't be used; close a connection that can't be understood or has too many faults."""
@@ -325,8 +325,10 @@
         self.used_at = time.monotonic()
         if self.stream.failed:
             self.close()
-        elif not self.open and (self.ended or self.shut):
+        elif not self.open and self.ended:
             self.stream.finish(ENDED_S)
+        elif not self.open and self.shut:
+            self.stream.finish()
 
     def _health(self, number: int, good: bool, advice: float | None) -> None:
         self._send(number, "result", {"healthy": good}, advice)
@@ -486,7 +488,7 @@
             elif c.overdue(now):
                 log(LOG, logging.INFO, "silent-closed", unread=c.stream.unread, open=len(c.open))
                 if c.open:  # what was asked before is still answered; the message that never ends has its word now
-                    c.word(INVALID, "the message did not come whole in time")
+                    c.word("the message did not come whole in time")
                     c.shut_in()
                 else:
                     c.finish()
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -245,6 +245,7 @@
         self.heard_at, self.pieces = 0.0, 0  # when some came last, and how often
         self._in, self._out, self._flusher = bytearray(), bytearray(), None
         self._dropped = 0  # bytes
+        self._ender: Timer | None = None
 
     @property
     def unsent(self) -> int:
@@ -403,9 +404,10 @@
             return
         self.deafen()
         self.ending = True
-        self.loop.later(within, self.close)
         if not self._out:
             self._half_close()
+        if not self.closed:
+            self._ender = self.loop.later(within, self.close)
 
     def _half_close(self) -> None:
         if not self.closed:
@@ -424,6 +426,8 @@
         """Close the socket and wake whoever waits for it."""
         if not self.closed:
             self.closed = True
+            if self._ender is not None:  # or it would hold the stream until its time
+                self._ender.cancel()
             self.loop.unsent -= len(self._out)
             self._out.clear()
             self.loop.forget(self.sock.fileno())
