Count a late answer as a broken rule only where its request was read in time

Ruled out: a second run (the last guard logs it, no line), a loop that was held up (the longest wait of the loop over its time was 101 ms, none in the seconds before a late answer). At fault: core._send counted any answer later than due_at + 60 ms. Now only what was read by its due time counts, and the class's own time holds where callers tell none (it was not counted at all there).

--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -789,7 +789,9 @@
         self.figures.answered(answer.kind, request.cls)
         if self.wide is not None:
             self.wide.answered(answer.kind, request.cls, self._now - request.born, self._now - request.read)
-            self.wide.broken += bool(request.due_at) and self._now > request.due_at + SLACK_MS
+            due_at = request.due_at or request.born + self.settings.classes[request.cls].deadline_ms
+            # What came after its due time was late before this process had it, and says nothing of it.
+            self.wide.broken += request.read <= due_at < self._now - SLACK_MS
         request.reply(answer._replace(advice=self.advice))
 
     def _end_unsure(self, task: Task) -> None:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -248,3 +248,36 @@
     assert found["worth.track"] == 20_000 and found["worth.book"] == 5000 and found["late.track"] == 0
     assert sum(value for name, value in found.items() if name.startswith("took.track.")) == 20
     assert 10_000 < found["memory_kb"] <= found["memory_most_kb"] < 100_000 and found["generation.abc"] == 1
+
+
+def wide(tmp_path):
+    """Return the environment of a host with the further figures."""
+    (tmp_path / "own.conf").write_text("section figures\n enabled yes\nend\n")
+    return {"LAPISPICK_CONF": str(tmp_path / "own.conf")}
+
+
+def test_what_came_after_its_due_time_is_no_rule_that_the_host_broke(host, tmp_path):
+    """Senders may be held up between a request's ``born`` and its last byte; a rollout must not go back for that."""
+    h = host(environ=wide(tmp_path))
+    g = h.gateway()
+    for cls, told in (("track", {"patience": 500}), ("book", {"nonce": uuid.uuid4().hex})):
+        number = g.request(cls, "late", born=time.time() * 1000 - 900, **{"patience": 300, **told})
+        assert g.code(number) == REFUSED
+    assert h.figures()["broken"] == 0 and not h.executor.ran("late")
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_an_answer_after_its_due_time_to_what_was_read_in_time_is_a_rule_broken(host, tmp_path, told):
+    """The due time is the caller's where it is told, else the class's."""
+    info = json.loads(json.dumps(INFO))
+    info["FamilyInfo"]["PassesDeadline"] = told
+    info["Services"][0].update(GiveUp=4800.0 if told else 300.0, Promise=250.0)
+    h = host(environ=wide(tmp_path), info=info)
+    g = h.gateway()
+    number = g.request("track", "hold", patience=300 if told else None)
+    until(lambda: h.executor.ran("hold"), "the run")
+    with h.stopped():
+        late = time.monotonic() + 0.5
+        until(lambda: time.monotonic() > late, "its due time and the slack")
+    assert g.answer(number)["error"]["code"] != REFUSED
+    assert h.figures()["broken"] == 1
