Tell a slow reader from one that stopped by what it acknowledged

Seen: beside a busy machine test_answers_that_a_slow_reader_has_not_taken_are_no_reason_to_close_for_room lost its connection in mid-answer. The reader had taken nothing for over 3 s while 42 others connected, so that close was due. Read on: a reader that does read loses it just the same. The system holds up to 4 MB for a connection and takes nothing more of the program until a third of that is free, so at 60 KB/s no write succeeds for many seconds; clients.standing counted writes that succeeded (Stream.moved_at). Ruled out: the figure of 3 s itself, and the order in which connections go (room.py). Now Stream.stalled also asks the system what the peer has acknowledged (SIOCOUTQ), where bytes wait; where it can't say, writes count as before. The test reads all the while, for 3.5 s too; that play fails without the look.

--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -202,7 +202,7 @@
     def standing(self) -> room.Standing:
         """Return what decides whether this connection is kept."""
         part = self.stream.unread > 0 and not self.stream.holds_line()
-        stopped = self.stream.unsent > 0 and time.monotonic() - self.stream.moved_at > STOPPED_S
+        stopped = self.stream.stalled() > STOPPED_S
         # A message that was received whole and has not had its turn yet is as good as open.
         owed = bool(self.open or self._fresh or self.stream.holds_line() or (self.stream.unsent and not stopped))
         return room.Standing(self.since, self.used_at, self.stream.heard_at, self.stream.pieces,
--- a/lapispick/host/loop.py
+++ b/lapispick/host/loop.py
@@ -6,10 +6,12 @@
 import logging
 import select
 import socket
+import sys
 import time
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from fcntl import ioctl
 from heapq import heappop, heappush
 from ipaddress import ip_address
 from math import ceil
@@ -27,6 +29,7 @@
 UNSENT_MOST = 4 << 20  # bytes that wait for all slow readers together, unless the limits say otherwise
 LINGER_S = 0.5  # s; how long what a peer still sends is read and dropped before its connection is closed
 LINGER_MOST = 256 * 1024  # bytes of that; who sends more at a closed door is cut off
+SIOCOUTQ = 0x5411  # asks the system how many bytes of a connection its peer has not acknowledged
 
 
 class Timer:
@@ -239,7 +242,8 @@
         self.deaf = False  # what comes is read and dropped
         self.ending = False  # what is written still goes out, and nothing after it
         self.ended = False  # the peer sends nothing more
-        self.moved_at = 0.0  # when the system last took bytes, where some wait
+        self._moved_at = 0.0  # when the peer last took bytes, as far as was seen, where some wait
+        self._on_the_way = 0  # bytes; in the system's hands at the last look
         self.urgent = urgent
         self.received = 0  # bytes, ever or since the owner set it back
         self.heard_at, self.pieces = 0.0, 0  # when some came last, and how often
@@ -252,6 +256,26 @@
         """How many bytes wait for the peer."""
         return len(self._out)
 
+    def _moved(self) -> None:
+        self._moved_at, self._on_the_way = time.monotonic(), 0
+
+    def stalled(self) -> float:
+        """Return for how long the peer has taken none of what waits for it, in s.
+
+        Guards slow readers: the system takes bytes by the megabyte and then none for many seconds, all of which time
+        the peer may be reading.
+        """
+        if not self._out:
+            return 0.0
+        left = bytes(4)
+        with suppress(OSError):  # where the system can't tell, only what it takes counts
+            left = ioctl(self.sock.fileno(), SIOCOUTQ, left)
+        now = int.from_bytes(left, sys.byteorder)
+        if now < self._on_the_way:
+            self._moved_at = time.monotonic()
+        self._on_the_way = now
+        return time.monotonic() - self._moved_at
+
     def _receive(self, timeout: float | None) -> bool:
         """Add what the peer sent to the buffer; False at its end. Raises ``TimeoutError``."""
         waited = False
@@ -342,7 +366,7 @@
         if self.closed or self.ending:
             return
         if not self._out:
-            self.moved_at = time.monotonic()
+            self._moved()
             try:
                 data = data[self.sock.send(data) :]
             except BlockingIOError:
@@ -368,7 +392,7 @@
                 sent = self.sock.send(self._out)
                 del self._out[:sent]
                 self.loop.unsent -= sent
-                self.moved_at = time.monotonic()
+                self._moved()
             except BlockingIOError:
                 continue
             except OSError:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -246,11 +246,17 @@
     assert sorted(g.answers) == list(range(1, g.last + 1)) and ended(g)
 
 
-def test_answers_that_a_slow_reader_has_not_taken_are_no_reason_to_close_for_room(host):
+@pytest.mark.parametrize("reads_s", [0.0, 3.5])  # by then a reader that stopped may lose its connection
+def test_answers_that_a_slow_reader_has_not_taken_are_no_reason_to_close_for_room(host, reads_s):
     h = host(limits={"sockets": 64})
     g = slow_reader(h)
+    since = time.monotonic()
+    for n in range(int(reads_s / 0.05)):  # so little that the system, which holds megabytes, takes no more of the host
+        until(lambda n=n: time.monotonic() >= since + 0.05 * n, "its time")
+        g.read()
     others = []  # more than there is room for, each served and idle
     for _ in range(42):
+        g.read()
         others.append(h.gateway())
         others[-1].answer(others[-1].request("track", "busy"))
     g.answer(g.last)
