--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -34,6 +34,9 @@
 PATIENCES = 10.0  # times the deadline of a class; no gateway waits longer
 ACCEPTS = 64  # in one round, so that a flood of connections leaves time for the rest
 LOOKS_MOST = 8  # connections more than are accepted at once that are looked at when room is made
+# s; for so long the order of who goes is used, of the kind that costs least and of the others: to find it takes some
+# ms where hundreds are open
+ORDER_S = (0.05, 0.01)
 SWEEP_S = 0.1  # s; between two looks for idle connections
 CLOSE_S = 1.0  # s; how long a peer may take to close after goaway
 STOPPED_S = 3.0  # s; a reader that took nothing for so long may lose its connection where room is needed
@@ -193,7 +196,7 @@
             self.part_since = 0.0
         elif not self.part_since and self.stream.unread and not self.stream.holds_line():
             self.part_since = now
-        if not room.overdue(self.standing(), now):
+        if (self.proven and not self.part_since) or not room.overdue(self.standing(), now):
             return False
         # Guards those whose bytes wait in the system because this host was held up: they have one more look.
         waits, self.suspect = not self.suspect and self.stream.waiting(), True
@@ -363,7 +366,8 @@
         self._listen = listen
         self._sock: socket.socket | None = None
         self.address = "{}:{}".format(*listen)
-        self._going: Iterator[Connection] | None = None  # who makes room in this round, in their order
+        self._going: Iterator[tuple[Connection, int]] | None = None  # who makes room, in their order, with their kind
+        self._ordered_at, self._least = 0.0, 0  # when the order was found, and the kind that it began with
         self.others: int | None = None  # connections of another process of this worker host; None = there is none
 
     @property
@@ -399,7 +403,6 @@
 
     def _accept(self, listener: socket.socket) -> bool:
         """Accept what waits; False where there is no room just now."""
-        self._going = None
         for _ in range(ACCEPTS):
             if len(self.connections) >= budget.connections(self._most, self.others):
                 if not readable(listener):  # nobody waits, so nobody has to go
@@ -424,13 +427,23 @@
 
     def _make_room(self) -> bool:
         """Close the connection that is the least loss, unless bytes of it wait in the system."""
-        if self._going is None:  # once for all that are accepted in one go: nothing is read in between
-            order = room.order(((c, c.standing()) for c in self.connections), time.monotonic())
-            self._going = iter(order[: ACCEPTS + LOOKS_MOST])
-        for c in self._going:
-            if not c.stream.closed and (c.stream.ending or not c.stream.waiting()):
-                c.close()
-                return True
+        now, fresh = time.monotonic(), False
+        while not fresh:
+            age = now - self._ordered_at
+            if self._going is None or age > ORDER_S[0]:
+                going = room.order(((c, c.standing()) for c in self.connections), now)
+                self._going, self._ordered_at, fresh = iter(going[: ACCEPTS + LOOKS_MOST]), now, True
+                self._least = going[0][1] if going else 0
+            for c, kind in self._going:
+                if not fresh and kind > self._least and age > ORDER_S[1]:  # by now others may cost less
+                    break
+                # What came since the order was found may be a reason to keep a connection, and is looked at again.
+                if c.stream.closed or not room.still(kind, c.standing(), now):
+                    continue
+                if c.stream.ending or not c.stream.waiting():
+                    c.close()
+                    return True
+            self._going = None
         return False
 
     def closed(self, connection: Connection) -> None:
@@ -477,7 +490,7 @@
 
     def _sweep(self) -> None:
         self.loop.later(SWEEP_S, self._sweep)
-        now, self._going = time.monotonic(), None
+        now = time.monotonic()
         while len(self.connections) > budget.connections(self._most, self.others) and self._make_room():
             pass  # another process of this worker host needs a part of the descriptors
         for c in list(self.connections):
--- a/lapispick/host/room.py
+++ b/lapispick/host/room.py
@@ -67,8 +67,14 @@
     return (6 if now - c.since < YOUNG_S else 2), c.since
 
 
-def order(connections: Iterable[tuple[C, Standing]], now: float) -> list[C]:
-    """Return those that may go, whom it costs least first; a message that is being written goes last of all."""
+def order(connections: Iterable[tuple[C, Standing]], now: float) -> list[tuple[C, int]]:
+    """Return those that may go with their kind, whom it costs least first; who writes a message goes last of all."""
     ranked = [(place, at, c) for at, (c, standing) in enumerate(connections)
               if (place := rank(standing, now)) is not None]
-    return [c for _, _, c in sorted(ranked, key=lambda r: r[:2])]
+    return [(c, place[0]) for place, _, c in sorted(ranked, key=lambda r: r[:2])]
+
+
+def still(kind: int, c: Standing, now: float) -> bool:
+    """Tell whether a connection may go at no more cost than when it was put in order."""
+    place = rank(c, now)
+    return place is not None and place[0] <= kind
--- a/lapispick/host/store.py
+++ b/lapispick/host/store.py
@@ -87,10 +87,12 @@
 
 def _read_head(line: Callable[[], bytes]) -> dict[bytes, bytes]:
     headers: dict[bytes, bytes] = {}
+    lines = 0
     while head := line():
+        lines += 1  # of one name too: a head that never ends would keep us busy for as long as the call may last
         name, colon, value = head.partition(b":")
         name, value = name.lower(), value.strip()
-        if not colon or not TOKEN.fullmatch(name) or len(headers) >= HEADERS_MOST:
+        if not colon or not TOKEN.fullmatch(name) or lines > HEADERS_MOST:
             raise Malformed("bad or too many headers")
         if headers.setdefault(name, value) != value and name in (b"content-length", b"transfer-encoding"):
             raise Malformed("two lengths")
@@ -107,8 +109,7 @@
         if len(body) + count > LONGEST_BODY:
             raise Malformed("bad chunk size")
         if not count:
-            while line():
-                pass
+            _read_head(line)  # trailers, bounded like the head
             return bytes(body)
         body += stream.read_exactly(count, max(0.0, deadline - time.monotonic()))
         if line():
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -36,8 +36,9 @@
         "open and at fault": NEW._replace(open=True, at_fault=True)}
     mixed = list(kinds.items())
     random.Random(1).shuffle(mixed)
-    assert room.order(mixed, now) == ["fault", "older silent", "silent", "longer stalled", "stalled", "gave up", "idle",
-                                      "begun", "young", "just served", "going on"]
+    assert [c for c, _ in room.order(mixed, now)] == [
+        "fault", "older silent", "silent", "longer stalled", "stalled", "gave up", "idle", "begun", "young",
+        "just served", "going on"]
 
 
 @pytest.mark.parametrize("standing,late", [
@@ -213,3 +214,29 @@
     until(lambda: time.monotonic() - began > FIRST_S + 0.3, "more than the time for a message")
     for g in quiet:
         assert g.result(g.request("track", "again")) == "did again"
+
+
+def test_an_order_that_was_found_before_closes_nobody_who_may_stay_since(front, monkeypatch):
+    """One that was silent then may have said something since; one that was open then may be silent by now."""
+    front._most, found, order = 3, [], room.order
+    monkeypatch.setattr(room, "order", lambda *told: found.append(1) or order(*told))
+    for _ in range(3):
+        front.client()
+    first, second, third = sorted(front.connections, key=lambda c: c.since)
+    for c in front.connections:
+        c.since -= 1.0
+    third.open[1] = None
+    assert front._make_room() and first.stream.closed
+    second.open[1] = None  # its request was read in between
+    assert not front._make_room() and not (second.stream.closed or third.stream.closed)
+    third.open.clear()
+    assert front._make_room() and third.stream.closed and not second.stream.closed
+    before = len(found)
+    front._most = 100
+    for _ in range(12):
+        front.client()
+    for c in front.connections:
+        c.since -= 1.0
+    while sum(not c.stream.closed for c in front.connections) > 2:
+        assert front._make_room()
+    assert len(found) == before + 1  # one order for all that go in one go
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,11 +1,13 @@
 """A store whose replies can't be trusted: what is spoilt counts as a call that ran, and nothing leaks on."""
 
+import itertools
 import json
 import time
 import uuid
 
 import pytest
 
+from lapispick.host import store
 from lapispick.host.store import SETTLE_S
 from lapispick.standins.peers import INFO, SPOILT, until
 
@@ -23,6 +25,23 @@
     assert len({c[3] for c in h.store.calls}) == 4 and h.memory_mb() < 64
 
 
+@pytest.mark.parametrize("lead", [[], [b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked", b"", b"0"]])
+def test_a_head_that_repeats_one_line_for_ever_is_given_up_at_its_bound(lead):
+    """It kept the whole host busy for as long as the call could last; the same for what stands behind the chunks."""
+    taken = itertools.chain(lead, itertools.repeat(b"X-More: of it", 2 * store.HEADERS_MOST))
+
+    class Lines:
+        def read_line(self, _):
+            return next(taken)
+
+    with pytest.raises(store.Malformed):
+        if lead:
+            store.read_reply(Lines(), time.monotonic() + 10)
+        else:
+            store._read_head(lambda: next(taken))
+    assert sum(1 for _ in taken) >= store.HEADERS_MOST - 1
+
+
 @pytest.mark.parametrize("what", ["early", "double", "trail"])
 def test_what_stands_around_a_good_reply_reaches_no_run(host, what):
     h = host()
