--- a/lapispick/host/clients.py
+++ b/lapispick/host/clients.py
@@ -196,7 +196,9 @@
             self.part_since = 0.0
         elif not self.part_since and self.stream.unread and not self.stream.holds_line():
             self.part_since = now
-        if (self.proven and not self.part_since) or not room.overdue(self.standing(), now):
+        if self.proven and not (self.part_since or self.stream.unsent):
+            return False
+        if not room.overdue(self.standing(), now):  # which also looks whether a slow reader has taken anything
             return False
         # Guards those whose bytes wait in the system because this host was held up: they have one more look.
         waits, self.suspect = not self.suspect and self.stream.waiting(), True
