Pause runs that crowd the cores as they come back from calls, where work can be paused

Runs at calls hold no slot, so a slow store that answers many at once puts them all on the cores: a warm host survives 8 for a core, a cold one fewer, and no guard stood between. Change: the module stops the latest aims of those on the cores, safe classes only, and starts them again before it starts what is held; the core takes a stop that is confirmed for a pause and tells the executor to go on with WAKE. Memory stays booked. A pause may cross the end, a call, giveUp, the due time, a drain and a lost link: tests/test_pause.py.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -18,7 +18,7 @@
     GoWithout, Halting, Join, KeepKey, Learned, Leave, LimitIdle, Log, NeedsCall, Outcome, Refuse, Request,
     Run, RunEnded, SetHealth, Settings, SetTimer, Stop, TimerFired,
 )
-from lapispick.state import CALLING, HELD, JOINED, OVER, RUNNING, WANTS_CALL, Entry
+from lapispick.state import CALLING, HELD, JOINED, OVER, PAUSED, RUNNING, WANTS_CALL, Entry
 
 # Tuned values: unit, then the reason.
 TICK_MS = 40.0  # ms; the one timer: under the slack of the due time, few enough to be cheap
@@ -37,6 +37,7 @@
 CROWDED = 1.6  # of the cores; with more than this on them runs only slow each other
 LIMIT_BACKOFF = 0.9  # factor of the limit on an error or a departed caller
 SHARED_LEAST = 0.5  # of a limit that two processes of one server share; neither waits for the other's half
+THIN_PART = 1.3  # of the slots; with more than this back from calls some are paused, where work can be
 CROWD_FADE = 0.1  # part of a tick; memory of what is on the cores
 BUSY_CORES = 0.95  # of the cores; with cores this busy one more run adds no throughput
 CROWD_PART = 0.5  # of the crowd a server survives; the survivable crowd is no target
@@ -428,7 +429,7 @@
     __slots__ = ("advert", "alarms", "batch", "born", "calls", "entries", "est", "handlers", "keys",
                  "late_from", "leave_at", "limit", "links", "logged", "memory", "next_window", "now",
                  "on_core", "order", "others", "out", "prices", "queued_ms", "queues", "rng", "s", "seq",
-                 "stop_at", "tries", "unread")
+                 "stop_at", "thinned", "tries", "unread")
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         settings.validate()
@@ -444,6 +445,7 @@
         self.logged: dict[str, float] = {}
         self.leave_at = self.stop_at = inf
         self.memory, self.unread, self.on_core, self.seq, self.next_window = 0.0, 0.0, 0, 0, -inf
+        self.thinned: list[Entry] = []  # paused, or on their way to it
         self.others = (0.0, 0.0)  # runs and KB that another process of this server has in hand
         self.out: list[Action] = []
         self.handlers = {
@@ -579,6 +581,8 @@
         """Start held requests while slots and memory last: densest worth first, then the earliest aim."""
         slots = int(self.limit.value * (BEHIND_PART if self.unread > UNREAD_FREE else 1.0))
         slots = max(int(SHARED_LEAST * slots), slots - int(self.others[0]))
+        if self.s.halt is Halting.PAUSE:
+            self._thin(slots)
         for queue in self.order:
             heap = self.queues[queue]
             while heap:
@@ -611,6 +615,24 @@
                     self.keys.by_id[r.id][1] = 1
                 self.out.append(Run(r.id))
 
+    def _thin(self, slots: int) -> None:
+        """Pause runs that crowd the cores as they come back from calls, the latest aim first; they go on first too."""
+        paused = [r for r in self.thinned if r.state == PAUSED]
+        stopping = len(self.thinned) - len(paused)
+        for r in paused[: max(0, slots - self.on_core)]:
+            self.thinned.remove(r)
+            r.state = RUNNING
+            self.on_core += 1
+            self.out.append(Run(r.id))
+        over = self.on_core - stopping - int(THIN_PART * slots)
+        if over > 0:  # a second start of an effect is never risked
+            runs = [r for r in self.entries.values() if r.state == RUNNING and not r.answered
+                    and r not in self.thinned and self.s.classes[r.cls].effect is Effect.SAFE]
+            for r in sorted(runs, key=lambda r: -r.aim_at)[:over]:
+                r.thinned = True
+                self.thinned.append(r)
+                self.out.append(Stop(r.id))
+
     def _repeat(self, r: Entry, prior: int) -> bool:
         """Handle a repeat of a request read before; False if it is to be taken as a request of its own."""
         p = self.entries.get(prior)
@@ -638,7 +660,7 @@
         if r is None or r.answered:
             return
         self._answered(r, shed=True)
-        if r.state in (HELD, JOINED):
+        if r.state in (HELD, JOINED, PAUSED):
             self._over(r)
         else:
             self.limit.troubled |= self.now > r.aim_at
@@ -652,8 +674,11 @@
     def _ended(self, e: RunEnded) -> None:
         r = self.entries.get(e.id)
         if r is None or e.outcome is Outcome.MOOT or (e.outcome is Outcome.CANCELLED and not r.answered):
-            return  # over already; or a stop that was not ordered here: the due-time answer still stands
-        if r.state != JOINED and e.outcome is Outcome.OK:
+            # Over already; or a stop that was not ordered here: the due-time answer still stands; or now it is paused.
+            if r is not None and r in self.thinned and r.state == RUNNING:
+                r.state, self.on_core = PAUSED, self.on_core - 1
+            return
+        if r.state != JOINED and e.outcome is Outcome.OK and not r.thinned:
             self.limit.ended(self.est.learn(r, e.took))
         self.limit.troubled |= e.outcome is Outcome.ERROR
         if not r.answered:
@@ -684,7 +709,7 @@
     def _fail(self, r: Entry) -> None:
         self.out.append(Fail(r.id))
         self._answered(r, shed=True)
-        if r.state == JOINED:
+        if r.state in (JOINED, PAUSED):
             self._over(r)
         elif r.state == RUNNING:
             self._abandon(r)
@@ -697,7 +722,9 @@
         if r.state == HELD and self.keys.by_id.pop(r.id, None) is not None:
             self.keys.count -= 1
             self.out.append(ForgetKey(r.id))
-        self.memory -= r.kb * (self.s.run_factor if r.state in (RUNNING, CALLING, WANTS_CALL) else 1.0)
+        self.memory -= r.kb * (self.s.run_factor if r.state in (RUNNING, CALLING, WANTS_CALL, PAUSED) else 1.0)
+        if r in self.thinned:
+            self.thinned.remove(r)
         r.state = OVER
         del self.entries[r.id]
 
@@ -719,6 +746,8 @@
         r = self.entries.get(e.id)
         if r is not None and r.state == RUNNING:
             self.on_core -= 1
+            if r in self.thinned:  # it came to its call first
+                self.thinned.remove(r)
             r.state, r.tries, r.needed = WANTS_CALL, 0, self.now
             self._try_call(r)
 
--- a/lapispick/host/core.py
+++ b/lapispick/host/core.py
@@ -214,6 +214,7 @@
 
     def run(self, tag: str, handler: str, body: str, once: bool) -> None: ...  # noqa: D102
     def stop(self, tag: str) -> None: ...  # noqa: D102
+    def wake(self, tag: str) -> None: ...  # noqa: D102
     def resume(self, tag: str, body: str) -> None: ...  # noqa: D102
     def skip(self, tag: str, index: int) -> None: ...  # noqa: D102
     def meter(self) -> None: ...  # noqa: D102
@@ -267,6 +268,8 @@
     settled_at: float = 0.0  # when that was
     running: bool = False
     unsure: bool = False
+    stopping: bool = False  # told to pause; it may end or come to a call before that
+    paused: bool = False  # the executor keeps it where it is until it is woken
     joining: bool = False
     claiming: bool = False  # it waits for the word whether its key may run here
     turned: bool = False  # the module had it run, and it was not begun here
@@ -465,6 +468,10 @@
         task = self._by_tag.get(item.tag)
         if task is None or not task.running:
             return
+        if item.outcome is Outcome.CANCELLED and task.stopping and not task.answered:
+            task.stopping, task.paused = False, True
+            events.append(api.RunEnded(task.id, item.outcome, item.spent))
+            return
         task.running = False
         self._drop_call(task)
         if item.outcome not in (Outcome.OK, Outcome.ERROR):
@@ -508,7 +515,7 @@
         task = self._by_tag.get(item.tag)
         if task is None or not task.running:
             return
-        task.wanted, task.wanted_body = item.index, item.body
+        task.wanted, task.wanted_body, task.stopping = item.index, item.body, False
         events.append(api.NeedsCall(task.id))
 
     def _call_over(self, item: CallOver, events: list[api.Event]) -> None:
@@ -638,6 +645,9 @@
         task = self._tasks.get(action.id)
         if task is None or task.answered:
             return
+        if task.paused:
+            task.paused = False
+            return self.executor.wake(task.request.tag)
         key, cls, born = task.key, self.settings.classes[task.request.cls], task.request.born
         if cls.effect is api.Effect.KEYED and (key is None or key.ran not in (0, ELSEWHERE)):
             # Guards the rule on duplicates whatever the module says: a key's second run is never started.
@@ -692,6 +702,7 @@
     def _stop(self, action: api.Stop) -> None:
         if (task := self._tasks.get(action.id)) is not None and task.running:
             self._drop_call(task)
+            task.stopping = not task.answered and self.settings.halt is api.Halting.PAUSE
             self.executor.stop(task.request.tag)
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -780,7 +791,7 @@
         else:
             self._open -= 1
         self._drop_call(task)  # the executor ends a run at a call once its request is over
-        if task.unsure:
+        if task.unsure or task.paused:  # the executor drops a paused run once its request is over, and says nothing
             self._end_unsure(task)
         self._release(task)
 
@@ -795,7 +806,7 @@
         request.reply(answer._replace(advice=self.advice))
 
     def _end_unsure(self, task: Task) -> None:
-        """Guard against a slot lost for good: no notice may ever come of a start that went with a link."""
+        """Guard against a slot lost for good: no notice may ever come of it, as where its start went with a link."""
         self.executor.forget(task.request.tag)
         self.post(RunOver(task.request.tag, Outcome.CANCELLED, 0.0, ""))
 
--- a/lapispick/host/executor.py
+++ b/lapispick/host/executor.py
@@ -81,6 +81,11 @@
         """Stop a run."""
         self._order(tag, {"verb": "KILL", "task": tag})
 
+    def wake(self, tag: str) -> None:
+        """Let a paused run go on; word that it was paused has ended its entry here."""
+        self._open[tag] = Open(False, None)
+        self._order(tag, {"verb": "WAKE", "task": tag})
+
     def resume(self, tag: str, body: str) -> None:
         """Give a run the reply to its call."""
         self._order(tag, {"verb": "RETURN", "task": tag, "bytes": body})
@@ -255,7 +260,7 @@
 
     def _bad(self, notice: Notice) -> None:
         log(LOG, logging.WARNING, "command-refused", command=notice.outcome, tag=notice.task)
-        if notice.outcome in ("EXEC", "KILL") and self._open.pop(notice.task, None) is not None:
+        if notice.outcome in ("EXEC", "KILL", "WAKE") and self._open.pop(notice.task, None) is not None:
             # Either way nothing runs, and no other notice will say so.
             self._post(core.RunUnknown(notice.task) if notice.outcome == "EXEC"
                        else core.RunOver(notice.task, Outcome.CANCELLED, 0.0, ""))
--- a/lapispick/state.py
+++ b/lapispick/state.py
@@ -4,14 +4,14 @@
 
 from lapispick.interface import Request
 
-HELD, RUNNING, CALLING, WANTS_CALL, JOINED, OVER = range(6)
+HELD, RUNNING, CALLING, WANTS_CALL, PAUSED, JOINED, OVER = range(7)
 
 
 class Entry:
     """One request that this server has read."""
 
     __slots__ = ("aim_at", "answered", "arrived", "call_ms", "caller", "cls", "cost", "due_at", "id",
-                 "in_call_ms", "kb", "needed", "queue", "queued_ms", "rank", "since", "state", "tries",
+                 "in_call_ms", "kb", "needed", "queue", "queued_ms", "rank", "since", "state", "thinned", "tries",
                  "worth")
 
     def __init__(self, e: Request, now: float) -> None:
@@ -21,3 +21,4 @@
         self.since = self.needed = self.call_ms = self.in_call_ms = 0.0  # since: its last call was made
         self.queue, self.queued_ms = -1, 0.0  # what it adds to its queue's work, so that the sum stays exact
         self.state, self.tries, self.answered = HELD, 0, False
+        self.thinned = False  # it was paused, or told to, so that the cores are less crowded
--- /dev/null
+++ b/tests/test_pause.py
@@ -0,0 +1,203 @@
+"""Runs that are paused where they crowd the cores as they come back from calls, and taken up again (``WAKE``)."""
+
+import json
+import threading
+import time
+
+import pytest
+
+from lapispick.interface import CallEnded, Gone, Halting, NeedsCall, Outcome, Run, RunEnded, Stop
+from lapispick.standins.peers import INFO, Executor, Store, until
+
+FAILED = -32000
+COUNT = 12  # runs that come back at once, on two cores with two slots
+TRACK, BOOK = "track", "book"
+
+
+def settings():
+    info = json.loads(json.dumps(INFO))
+    info["FamilyInfo"].update(Halt="pause", CallsOut=50.0, ClassSkipWorth=[0.0, 0.0])
+    info["Guarantees"]["FallMultiple"] = 2.0  # the slots stay two
+    info["Services"][0].update(Promise=4700.0)
+    return info
+
+
+class Pausing(Executor):
+    """Keeps a run that is stopped on its cores until it is woken; knows which are at a call, on a core and paused."""
+
+    def __init__(self):
+        self.at_call, self.on_core, self.paused, self.ends = set(), set(), set(), False
+        super().__init__()
+
+    def on_exec(self, link, command):
+        super().on_exec(link, command)
+        self.at_call.add(command["task"])
+
+    def on_return(self, link, command):
+        self.at_call.discard(command["task"])
+        self.on_core.add(command["task"])
+
+    def on_kill(self, link, command):
+        task = command["task"]
+        if task not in self.on_core:
+            return None
+        if self.ends:
+            return self.done(task)
+        self.on_core.remove(task)
+        self.paused.add(task)
+        return self.tell(verb="EXIT", task=task, outcome="cancelled", spent=5.0, bytes="")
+
+    def on_wake(self, link, command):
+        if command["task"] not in self.paused:
+            return self.send(link, verb="BAD", outcome="WAKE", task=command["task"])
+        self.paused.remove(command["task"])
+        return self.on_core.add(command["task"])
+
+    def done(self, task):
+        with self.lock:
+            self.on_core.remove(task)
+            self.end(task)
+
+    def orders(self, verb):
+        return [c["task"] for c in list(self.commands) if c["verb"] == verb]
+
+
+class Gated(Store):
+    """Answers no call before its gate is open."""
+
+    def __init__(self):
+        self.gate = threading.Event()
+        super().__init__()
+
+    def talk(self, link):
+        for _ in self.asked(link.makefile("rb")):
+            self.gate.wait(20)
+            link.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+@pytest.fixture
+def crowd(host):
+    """Return a host whose runs have all come back from their calls at once, and the requests; ``cls`` of each."""
+    def made(cls=TRACK, ends=False, stop_ms=6000, **over):
+        h = host(executor=Pausing(), store=Gated(), info=settings(), stop_ms=stop_ms)
+        h.executor.ends = ends
+        g = h.gateway()
+        numbers = []
+        for n in range(COUNT):
+            numbers.append(g.request(cls, "stay:x", f"{n:032x}" if cls == BOOK else None, **over))
+            until(lambda n=n: len(h.executor.at_call) > n, "that it is at its call")
+        with h.stopped():  # all replies are there when it goes on
+            h.store.gate.set()
+        return h, g, numbers
+
+    return made
+
+
+def settled(h):
+    """Wait until all runs are back and as many are paused as is meant to be."""
+    until(lambda: not h.executor.at_call and len(h.executor.on_core) == 2, "that the others are paused")
+    assert len(h.executor.paused) == COUNT - 2
+
+
+def test_runs_that_crowd_the_cores_are_paused_and_go_on_one_by_one(crowd):
+    h, g, numbers = crowd()
+    settled(h)
+    waits = g.request(TRACK, "plain")  # it was not begun before: those that were go on first
+    for _ in range(COUNT):
+        until(lambda: h.executor.on_core, "a run on a core")
+        h.executor.done(min(h.executor.on_core))
+    assert [g.result(n) for n in numbers] == ["done"] * COUNT
+    until(lambda: h.executor.ran("plain"), "the one that waited")
+    assert g.answer(g.send("probe"))["result"]["healthy"] and not h.executor.paused
+    woken, begun = h.executor.orders("WAKE"), h.executor.orders("EXEC")
+    assert len(set(woken)) == COUNT - 2 and len(begun) == len(set(begun)) == COUNT + 1
+    assert waits not in g.answers or "result" in g.answers[waits]
+
+
+def test_a_pause_that_crosses_the_end_gives_the_result_and_wakes_nobody(crowd):
+    h, g, numbers = crowd(ends=True)  # each run that is told to pause ends in that instant
+    until(lambda: not h.executor.at_call and len(h.executor.on_core) <= 2, "the ends")
+    for task in list(h.executor.on_core):
+        h.executor.done(task)
+    assert [g.result(n) for n in numbers] == ["done"] * COUNT
+    assert h.executor.orders("KILL") and not h.executor.orders("WAKE")
+
+
+def test_what_is_given_up_or_due_while_it_is_paused_is_answered_and_never_woken(crowd):
+    h, g, numbers = crowd()
+    settled(h)
+    with h.stopped():  # all are given up in one instant
+        for number in numbers:
+            g.raw(json.dumps({"jsonrpc": "2.0", "method": "giveUp", "params": {"id": number}}).encode())
+    assert {g.code(n) for n in numbers} == {FAILED}
+    until(lambda: not h.executor.on_core, "that the two on the cores are stopped")
+    late = [g.request(TRACK, "stay:x", patience=1500) for _ in range(3)]  # their slots are free again
+    until(lambda: len(h.executor.on_core) == 2 and len(h.executor.paused) > COUNT, "that one of three is paused")
+    assert {g.code(n) for n in late} == {FAILED}  # by their due time
+    until(lambda: h.figures()["inflight"] == 0, "that nothing is owed")
+    assert not h.executor.orders("WAKE") and "event=run-lost" not in h.log()
+
+
+def test_a_drain_answers_what_is_paused_before_the_stop(crowd):
+    h, g, numbers = crowd(stop_ms=2500)
+    settled(h)
+    began = time.monotonic()
+    h.leave()
+    for _ in range(4):
+        until(lambda: h.executor.on_core, "a run on a core")
+        h.executor.done(min(h.executor.on_core))
+    answers = [g.answer(n) for n in numbers]
+    assert sum("result" in a for a in answers) == 4
+    assert all(a["error"]["code"] == FAILED for a in answers if "error" in a)  # they ran: none is refused
+    assert h.process.wait(5) == 0 and time.monotonic() - began < 5
+
+
+def test_a_wake_that_went_with_a_link_is_said_again(crowd):
+    h, g, numbers = crowd()
+    settled(h)
+    with h.executor.lock:
+        ended = min(h.executor.on_core)
+        h.executor.done(ended)
+        h.executor.deaf = True  # what it is told from now on goes with the link
+    until(lambda: "WAKE" in h.executor.heard, "the order to go on")
+    with h.executor.lock:
+        h.executor.cut()
+        h.executor.deaf = False
+    until(lambda: len(h.executor.on_core) == 2, "that it goes on")
+    for _ in range(COUNT - 1):
+        until(lambda: h.executor.on_core, "a run on a core")
+        h.executor.done(min(h.executor.on_core))
+    assert [g.result(n) for n in numbers] == ["done"] * COUNT
+    assert len(h.executor.orders("EXEC")) == COUNT  # none is begun again
+
+
+def test_a_run_with_an_effect_is_never_paused(crowd):
+    h, g, numbers = crowd(cls=BOOK)
+    until(lambda: len(h.executor.on_core) == COUNT, "all are back")
+    for task in list(h.executor.on_core):
+        h.executor.done(task)
+    assert [g.result(n) for n in numbers] == ["done"] * COUNT and not h.executor.orders("KILL")
+
+
+def test_a_paused_run_keeps_its_memory_and_leaves_the_cores(rig):
+    r = rig(halt=Halting.PAUSE, fall_multiple=2, calls_out=50)
+    r.tick(1000)  # the limit comes down to its ceiling
+    ids = []
+    for _ in range(6):
+        r.step(request := r.request())
+        ids.append(request.id)
+        r.step(NeedsCall(request.id))
+    held = r.control.memory
+    r.step(*(CallEnded(i, Outcome.OK, 20.0) for i in ids))
+    told = [a.id for a in r.of(Stop)]
+    assert len(told) == 4 and r.control.on_core == 6
+    r.step(*(RunEnded(i, Outcome.CANCELLED, 5.0) for i in told))
+    assert r.control.on_core == 2 and r.control.memory == held
+    r.step(Gone(told[0]))
+    assert r.control.memory == held * 5 / 6 and not [a for a in r.of(Run, told[0])][1:]
+    rest = [i for i in ids if i not in told]
+    r.step(RunEnded(rest[0], Outcome.OK, 30.0))
+    woken = [i for i in told if len(r.of(Run, i)) == 2]
+    assert len(woken) == 1 and r.control.on_core == 2
+    r.step(NeedsCall(woken[0]))  # it goes on as any other
+    assert r.control.on_core == 2 and sum(len(r.of(Run, i)) == 2 for i in told) == 2
