--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -616,7 +616,7 @@
                 self.out.append(Run(r.id))
 
     def _thin(self, slots: int) -> None:
-        """Pause runs that crowd the cores as they come back from calls, the latest aim first; they go on first too."""
+        """Pause runs that crowd the cores as they come back from calls, the latest aim first; they go on first."""
         paused = [r for r in self.thinned if r.state == PAUSED]
         stopping = len(self.thinned) - len(paused)
         for r in paused[: max(0, slots - self.on_core)]:
@@ -674,7 +674,7 @@
     def _ended(self, e: RunEnded) -> None:
         r = self.entries.get(e.id)
         if r is None or e.outcome is Outcome.MOOT or (e.outcome is Outcome.CANCELLED and not r.answered):
-            # Over already; or a stop that was not ordered here: the due-time answer still stands; or now it is paused.
+            # Over already; or not stopped from here: the due-time answer still stands; or it is paused now.
             if r is not None and r in self.thinned and r.state == RUNNING:
                 r.state, self.on_core = PAUSED, self.on_core - 1
             return
@@ -722,7 +722,7 @@
         if r.state == HELD and self.keys.by_id.pop(r.id, None) is not None:
             self.keys.count -= 1
             self.out.append(ForgetKey(r.id))
-        self.memory -= r.kb * (self.s.run_factor if r.state in (RUNNING, CALLING, WANTS_CALL, PAUSED) else 1.0)
+        self.memory -= r.kb * (1.0 if r.state in (HELD, JOINED) else self.s.run_factor)
         if r in self.thinned:
             self.thinned.remove(r)
         r.state = OVER
