--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -616,7 +616,7 @@
                 self.out.append(Run(r.id))
 
     def _thin(self, slots: int) -> None:
-        """Pause runs that crowd the cores behind their calls, the latest aim first; they go on before others."""
+        """Pause runs that crowd the cores behind their calls, latest aim first; they go on first."""
         paused = [r for r in self.thinned if r.state == PAUSED]
         stopping = len(self.thinned) - len(paused)
         for r in paused[: max(0, slots - self.on_core)]:
