Let no slow run shut its class out: an estimate counts up to seven tenths of the aim

A probe in the module's log showed all 49 refusals at one server and in one class, with the same estimate each time: its first run had taken 2262 ms, the aim is 1300 ms, and no later request of that class was ever started, so the estimate was never set right. At fault: Controller._dispatch and _price_test took the learned mean at its word, however little it rested on. Change: what a request may still take counts up to seven tenths of its class's aim where it is turned away unstarted.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -43,6 +43,7 @@
 CROWD_PART = 0.5  # of the crowd a server survives; the survivable crowd is no target
 MEMORY_PART = 0.92  # of the memory; counted before acting, the rest is room for what is read meanwhile
 ESTIMATE_STEPS = 30  # runs; memory of a class's run estimate
+EXPECT_MOST = 0.7  # of the aim; a request with more left is tried, however slow the runs of its class were
 FIRST_RUN_PART = 0.15  # of the aim; a class's run until one was seen
 UNREAD_FREE = 0.15  # of the aim; a request that lay unread longer shows that reading is behind
 BEHIND_PART = 0.5  # of L; what runs while reading is behind
@@ -526,7 +527,7 @@
             self.prices.observe(self.now, wait, (r.cls, value, hold, r.cost))
             line = self.prices.settle(self.limit.value)
             self.out += [Log(line)] if line else []
-        spare = (r.due_at if late else r.aim_at) - self.now - hold - self.est.calls[r.cls]
+        spare = (r.due_at if late else r.aim_at) - self.now - self._expected(r)
         pressure = wait / (LINE_PART * spare) if spare > 0 else inf
         price = self.prices.hold_price * hold + self.prices.cost_price * r.cost
         admit = pressure < 1 and value >= pressure * price  # a longer line would answer too late
@@ -559,6 +560,10 @@
         held = self.memory + self.others[1] + more_kb
         return (held + self.s.key_kb * self.keys.count) / (MEMORY_PART * self.s.memory_kb)
 
+    def _expected(self, r: Entry) -> float:
+        """How long it may take; an estimate near the aim would shut its class out for good."""
+        return min(self.est.core(r) + self.est.calls[r.cls], EXPECT_MOST * self.s.classes[r.cls].aim_ms)
+
     def _push(self, r: Entry) -> None:
         r.queue = r.cls + (self.late_from if self.now >= r.aim_at else 0)
         r.queued_ms = self.est.core(r)
@@ -593,7 +598,7 @@
                 if self.on_core >= slots:
                     self.limit.bound = True
                     return
-                run = self.est.core(r) + self.est.calls[r.cls]
+                run = self._expected(r)
                 if queue < self.late_from and self.now + run > r.aim_at:
                     heappop(heap)
                     self._unqueue(r)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -353,3 +353,27 @@
     assert began >= 2
     windows = [sum(held[i : i + 125]) / 125 for i in range(len(held) - 125)]  # 125 ticks are 5 s
     assert max(windows) < 0.43
+
+
+def test_one_slow_run_does_not_shut_its_class_out(rig):
+    """The first run of a class took twice its aim; those that come after it are tried, and set the estimate right."""
+    r = rig()
+    r.step(first := r.request())
+    r.step(RunEnded(first.id, Outcome.OK, 2000.0), at=2000.0)
+    for n in range(20):
+        r.step(each := r.request(), at=r.now + 50.0)
+        assert r.of(Run, each.id), n
+        r.step(RunEnded(each.id, Outcome.OK, 40.0), at=r.now + 40.0)
+    assert r.control.est.cores[0] < 200.0
+
+
+@pytest.mark.parametrize("left,runs", [(750.0, True), (650.0, False)])
+def test_work_that_waits_is_tried_while_seven_tenths_of_its_aim_are_left(rig, left, runs):
+    r = rig(cores=1)
+    r.step(first := r.request())
+    r.step(RunEnded(first.id, Outcome.OK, 2000.0), at=2000.0)
+    r.step(running := r.request())
+    r.step(held := r.request())
+    assert r.of(Run, running.id) and not r.of(Run, held.id) and not r.finals(held.id)
+    r.step(RunEnded(running.id, Outcome.OK, 2000.0), at=3000.0 - left)
+    assert bool(r.of(Run, held.id)) is runs and len(r.finals(held.id)) == (not runs)
