--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -7,8 +7,9 @@
 import pytest
 
 from lapispick.host.config import ConfigError, parse
+from lapispick.standins.fleet import Fleet
 from lapispick.standins.pauses import watched
-from lapispick.standins.peers import INFO, asked, until
+from lapispick.standins.peers import INFO, Store, asked, until
 
 
 def settings(**family):
@@ -127,3 +128,81 @@
     h.executor.deaf = False
     h.executor.cut()
     assert g.result(g.request("track", "back")) == "did back"
+
+
+@pytest.mark.parametrize("returning", [False, True])
+def test_callers_that_ask_once_and_stay_leave_before_their_own_time(host, returning):
+    """Where a table is full of them, connections that carry nothing cost the work that others need."""
+    h = host(info=settings(Idle=4000.0))
+    callers = [h.gateway() for _ in range(60)]
+    began = time.monotonic()
+    for n, g in enumerate(callers):
+        assert g.result(g.request("track", "once", client=1 + (0 if returning else n))) == "did once"
+    callers[0].file.peek(1)  # the goaway
+    after = time.monotonic() - began
+    callers[0].read()
+    assert callers[0].away and (after > 3.9 if returning else after < 3.9)
+
+
+def test_a_few_requests_of_many_times_the_usual_work_cost_only_themselves(host):
+    info = settings(PassesDeadline=False, Halt="pause")
+    info["Services"][0].update(GiveUp=2500.0, Promise=1000.0)
+    h = host(info=info)
+    g, heavy, light = h.gateway(), [], []
+    for n in range(200):
+        (heavy if n % 50 == 20 else light).append(number := g.request("track", "hold" if n % 50 == 20 else f"x{n}"))
+        if number in light:
+            assert g.result(number) == f"did x{n}"
+    assert {g.code(n) for n in heavy} == {-32000}
+    until(lambda: len([c for c in h.executor.commands if c["verb"] == "KILL"]) == len(heavy), "their stops")
+    assert g.result(g.request("track", "after")) == "did after"
+
+
+class Crowded(Store):
+    """Takes ``work_s`` for a call, longer by ``slow``; it notes the most that it had in hand."""
+
+    def __init__(self):
+        self.now, self.worst, self.slow, self.work_s = 0, 0, 1.0, 0.01
+        super().__init__()
+
+    def talk(self, link):
+        for _ in self.asked(link.makefile("rb")):
+            with self.lock:
+                self.now += 1
+                self.worst = max(self.worst, self.now)
+            time.sleep(self.work_s * self.slow)
+            with self.lock:
+                self.now -= 1
+            link.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+def test_a_slow_store_is_asked_no_more_than_its_share_and_all_is_answered(host):
+    info = settings(PassesDeadline=False, CallsOut=3.0, ClassSkipWorth=[0.0, 0.0], DepWindow=1000.0)
+    info["Services"][0].update(GiveUp=2000.0, Promise=1000.0)
+    h = host(info=info, store=Crowded())
+    g, numbers, kinds = h.gateway(), [], []
+    for turn in range(60):
+        h.store.slow = 20.0 if 15 <= turn < 40 else 1.0
+        batch = [g.request("track", f"call:{turn}-{n}") for n in range(4)]
+        answers = [g.answer(n) for n in batch]
+        kinds.append(sum("result" in a for a in answers))
+        numbers += batch
+    assert len(g.answers) >= len(numbers) and h.store.worst <= 3
+    assert sum(kinds[:15]) >= 40 and sum(kinds[-10:]) >= 30  # as before, once it is over
+
+
+def test_a_fleet_that_shrinks_to_a_third_keeps_all_rules(tmp_path):
+    info = json.loads(json.dumps(INFO))
+    info["FamilyInfo"].update(Halt="pause", Advert="off")
+    with Fleet(tmp_path, seed=12, boxes=3, rate=40, info=info) as fleet:
+        fleet.start()
+        fleet.load()
+        fleet.answered(60)
+        for box in fleet.boxes[1:]:
+            fleet.account.left(box.name, box.processes[0].name)
+            box.processes[0].terminate()
+        assert all(box.processes[0].wait(8) == 0 for box in fleet.boxes[1:])
+        since = time.time()
+        fleet.answered(100)
+        assert fleet.broken_rules() == []
+        assert fleet.account.counts(since=since, boxes={"disp-01"})["served"] > 50
