--- a/lapispick/standins/account.py
+++ b/lapispick/standins/account.py
@@ -11,7 +11,7 @@
 import time
 
 SLACK_S = 0.11  # s; the rule's 60 ms and 50 ms of sockets
-GRACE_S = 1.8 + 0.05  # s; what came later after a notice to leave must not run
+SOCKETS_S = 0.05  # s; of each time limit, for the way
 REFUSED = -32050
 SERVED, TURNED, FAILED = "served", "refused", "failed"
 
@@ -136,10 +136,13 @@
     return {f"called {body[5:]}", "poorer"} if body.startswith("call:") else {f"did {body}"}
 
 
-def check(account, result=results, window_s=14.286):
-    """Return every broken rule as (rule, text); ``result`` tells what runs of a body may make."""
+def check(account, result=results, window_s=14.286, grace_s=1.8):
+    """Return every broken rule as (rule, text); ``result`` tells what runs of a body may make.
+
+    ``window_s``: for so long a key must not run again; ``grace_s``: what came later after a notice must not run.
+    """
     account = account.copy()  # of this moment: the load may go on
-    return [*_lost(account), *_doubled(account), *_twice(account, window_s), *_late_starts(account),
+    return [*_lost(account), *_doubled(account), *_twice(account, window_s), *_late_starts(account, grace_s + SOCKETS_S),
             *_refused_after_run(account), *_changed(account, result), *_memory(account)]
 
 
@@ -175,12 +178,12 @@
             yield "twice", f"key {made.key[:8]} ran at {held[1].box} ({held[1].process}) and {run.box} ({run.process})"
 
 
-def _late_starts(account):
+def _late_starts(account, grace_s):
     for run in account.runs:
         made = account.tries.get(run.trace)
         for at, box, process in account.leaves:
             if made and run.where == "executor" and (run.box, run.process) == (box, process) \
-                    and made.written > at + GRACE_S:
+                    and made.written > at + grace_s:
                 yield "drain", f"{run.trace} ran at {box}; it came {made.written - at:.2f} s after the notice"
 
 
--- a/lapispick/standins/fleet.py
+++ b/lapispick/standins/fleet.py
@@ -336,7 +336,9 @@
         for box in self.boxes:
             for pid in box.serving():
                 self.account.held(box.name, box.memory_mb(pid), self.memory_mb)
-        return list(check(self.account))
+        windows = [s["Window"] for s in self.info["Services"] if s["Idempotency"] == "deduplicated"]
+        return list(check(self.account, window_s=max(windows, default=0.0) / 1000,
+                          grace_s=self.info["Guarantees"]["DrainGrace"] / 1000))
 
     def worth(self, since=0.0, until=float("inf")):
         """Return worth served over worth asked, of requests asked in a span."""
