--- a/lapispick/standins/account.py
+++ b/lapispick/standins/account.py
@@ -142,8 +142,8 @@
     ``window_s``: for so long a key must not run again; ``grace_s``: what came later after a notice must not run.
     """
     account = account.copy()  # of this moment: the load may go on
-    return [*_lost(account), *_doubled(account), *_twice(account, window_s), *_late_starts(account, grace_s + SOCKETS_S),
-            *_refused_after_run(account), *_changed(account, result), *_memory(account)]
+    return [*_lost(account), *_doubled(account), *_twice(account, window_s), *_changed(account, result),
+            *_late_starts(account, grace_s + SOCKETS_S), *_refused_after_run(account), *_memory(account)]
 
 
 def _lost(account):
