--- a/lapispick/standins/peers.py
+++ b/lapispick/standins/peers.py
@@ -203,6 +203,9 @@
     def on_kill(self, link, command):
         self.end(command["task"], outcome="cancelled", result="")
 
+    def on_wake(self, link, command):  # what it stops has ended
+        self.send(link, verb="BAD", outcome="WAKE", task=command["task"])
+
     def on_return(self, link, command):
         if not self.ran_as(command["task"]).startswith("stay:"):
             self.end(command["task"], result=base64.b64decode(command["bytes"]))
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -204,3 +204,16 @@
     assert len(woken) == 1 and r.control.on_core == 2
     r.step(NeedsCall(woken[0]))  # it goes on as any other
     assert r.control.on_core == 2 and sum(len(r.of(Run, i)) == 2 for i in told) == 2
+
+
+def test_a_wake_that_the_executor_refuses_fails_its_request_and_frees_its_slot(crowd):
+    h, g, numbers = crowd()
+    settled(h)
+    with h.executor.lock:
+        h.executor.paused.clear()  # it knows of none of them any more
+        for task in list(h.executor.on_core):
+            h.executor.done(task)
+    answers = [g.answer(n) for n in numbers]  # long before they are due: each is woken in its turn
+    assert sum("result" in a for a in answers) == 2
+    assert {a["error"]["code"] for a in answers if "error" in a} == {FAILED}
+    assert h.figures()["inflight"] == 0 and h.log().count("command=WAKE") == COUNT - 2
