Pause no run because reading is behind

Seen on reading the change again, then in a test: with one core, a request that lay unread halves the slots to none until the next request is read, and _thin, which took these slots, paused the only run for as long as nobody asked again. At fault: Controller._dispatch handed _thin the slots of the moment; it now takes those that the limit gives, less the other process's runs, and one at least.

--- a/lapispick/control.py
+++ b/lapispick/control.py
@@ -586,8 +586,8 @@
         """Start held requests while slots and memory last: densest worth first, then the earliest aim."""
         slots = int(self.limit.value * (BEHIND_PART if self.unread > UNREAD_FREE else 1.0))
         slots = max(int(SHARED_LEAST * slots), slots - int(self.others[0]))
-        if self.s.halt is Halting.PAUSE:
-            self._thin(slots)
+        if self.s.halt is Halting.PAUSE:  # what is behind with reading starts less, and pauses nothing
+            self._thin(max(1, int(self.limit.value) - int(self.others[0])))
         for queue in self.order:
             heap = self.queues[queue]
             while heap:
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -217,3 +217,13 @@
     assert sum("result" in a for a in answers) == 2
     assert {a["error"]["code"] for a in answers if "error" in a} == {FAILED}
     assert h.figures()["inflight"] == 0 and h.log().count("command=WAKE") == COUNT - 2
+
+
+def test_a_host_that_is_behind_with_reading_pauses_nothing(rig):
+    """One core, and a request that lay unread: it halves what is begun until the next one, which may never come."""
+    r = rig(halt=Halting.PAUSE, cores=1)
+    r.step(request := r.request())
+    r.tick(2000)
+    r.step(late := r.request(age=900))
+    r.tick(400)
+    assert r.of(Run, request.id) and not r.of(Stop) and late.id
