--- a/review/standins.py
+++ b/review/standins.py
@@ -133,14 +133,14 @@
                 return
             if kind in self._calls:
                 self._open[task] = call = f"call of {body}"
-                self._notice(verb="CALLOUT", task=task, bytes=_encode(call))
+                self._notice(verb="CALLOUT", task=task, bytes=encode(call))
             else:
                 self._end(task, "complete", f"{self._name} run {number} of {body}")
 
     def _end(self, task, outcome, result=""):
         if self._open.pop(task, "") != "":
             self._record.add(f"{self._name}: EXIT task={task} outcome={outcome} result={result}")
-            self._notice(verb="EXIT", task=task, outcome=outcome, spent=100.0, bytes=_encode(result))
+            self._notice(verb="EXIT", task=task, outcome=outcome, spent=100.0, bytes=encode(result))
 
     def _on_return(self, connection, command):
         call = self._open.get(command["task"])
@@ -165,10 +165,16 @@
         self._send({"verb": "DIAGNOSED", "nonce": command["nonce"], "outcome": "complete"})
 
 
-def _encode(text):
+def encode(text):
+    """Return a text as base64."""
     return base64.b64encode(text.encode()).decode()
 
 
+def decode(doc):
+    """Return the text of base64."""
+    return base64.b64decode(doc).decode()
+
+
 class Roster:
     """The roster: a UDP address that takes reports and answers nothing."""
 
@@ -218,7 +224,7 @@
         self._last_id += 1
         born = int(now_ms())
         fields = {"trace": os.urandom(8).hex(), "born": born, "client": 1, "size": 24.5, "order": 0.5, **params}
-        fields["doc"] = _encode(body)
+        fields["doc"] = encode(body)
         message = {"jsonrpc": "2.0", "id": self._last_id, "method": kind, "params": fields}
         self._record.add(f"{self._name}: request id={self._last_id} class={kind} body={body} {params}")
         with contextlib.suppress(OSError):
@@ -231,6 +237,11 @@
             self._changed.wait_for(lambda: request_id in self._answers or self.closed, timeout_s)
             return self._answers.get(request_id, [None])[0]
 
+    def open_count(self):
+        """Return the number of requests without an answer."""
+        with self._changed:
+            return self._last_id - len(self._answers)
+
     def close(self):
         """Close the connection."""
         with contextlib.suppress(OSError):
