--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,7 +21,8 @@
 WORK_S = (0.02, 0.08)  # before, between and after the calls, drawn
 STORE_S = (0.005, 0.015)  # of each call, drawn
 SEED = 1
-DURATION_S = 40.0
+DURATION_S = 90.0
+ENOUGH = 3  # replies to another call, after which the load ends
 BREAK_INTERVAL_S = (0.7, 1.3)  # between two breaks of the link, drawn
 REQUEST_INTERVAL_S = 0.015
 GIVE_UP_S = 7.2  # Services[].GiveUp of the class
@@ -102,7 +103,7 @@
     sent = []
     began = time.monotonic()
     next_break = began + draw(*BREAK_INTERVAL_S)
-    while time.monotonic() < began + DURATION_S:
+    while time.monotonic() < began + DURATION_S and len(executor.foreign) < ENOUGH:
         gateway = gateways[len(sent) % len(gateways)]
         if gateway.open_count() < 30:
             request_id, _ = gateway.send(CLASS, f"proof {len(sent)}")
