--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -18,6 +18,7 @@
 import time
 import tomllib
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -52,7 +53,7 @@
     def __init__(self, record: Record, name: str = "executor") -> None:
         self.record = record
         self.name = name
-        self.runs: list[dict[str, str]] = []
+        self.runs: list[dict[str, Any]] = []
         self.notices: list[dict[str, object]] = []
         self.kept = True
         self.address = ""
@@ -66,7 +67,7 @@
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0, limit=1 << 20)
         self.address = address_of(self._server)
 
-    def runs_of(self, trace: str) -> list[dict[str, str]]:
+    def runs_of(self, trace: str) -> list[dict[str, Any]]:
         """Return the runs of an attempt."""
         return [run for run in self.runs if run["task"] == trace]
 
@@ -88,7 +89,7 @@
         elif verb == "DIAG":
             self._send(verb="DIAGNOSED", nonce=command["nonce"], outcome="complete")
         elif verb == "EXEC" and task not in self._tasks:
-            run = {"task": task, "handler": str(command["handler"]), "body": str(command["bytes"])}
+            run = {"task": task, "handler": str(command["handler"]), "body": str(command["bytes"]), "at": time.time()}
             self.runs.append(run)
             self.record.add(f"{self.name} runs {task} {run['handler']} with a body of {len(run['body'])} characters")
             self._tasks[task] = asyncio.ensure_future(self._run(run))
@@ -100,7 +101,7 @@
             if waiting is not None and not waiting.done():
                 waiting.set_result(base64.b64decode(str(command["bytes"])) if verb == "RETURN" else None)
 
-    async def _run(self, run: dict[str, str]) -> None:
+    async def _run(self, run: dict[str, Any]) -> None:
         began = time.monotonic()
         task = run["task"]
         body = base64.b64decode(run["body"])
@@ -319,9 +320,9 @@
         return f"{LOOPBACK}:{sock.getsockname()[1]}"
 
 
-def settings(**family: object) -> dict[str, object]:
-    """Return settings like those of a small deployment, by the page on the wire."""
-    return {
+def settings(effects: dict[str, str], **family: object) -> dict[str, object]:
+    """Return settings like those of a small deployment; ``effects`` gives classes another effect on repeats."""
+    made = {
         "Bounds": {"CpuUsPerRequest": 0.0, "CpuUsPerS": 60000, "MaxRetryAfter": 1000.0, "RetryAfter": True},
         "Callers": {"MarksRetry": True},
         "FailureDomains": ["militari"],
@@ -390,6 +391,10 @@
         "Stages": ["dispatch-fleet"],
         "ValueBy": "request",
     }
+    services: list[dict[str, object]] = made["Services"]  # type: ignore[assignment]
+    for service in services:
+        service["Idempotency"] = effects.get(str(service["Name"]), service["Idempotency"])
+    return made
 
 
 class Setup:
@@ -403,6 +408,7 @@
         self.registry = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.hosts: list[Host] = []
         self.listen = free_address()
+        self.effects: dict[str, str] = {}
 
     async def start(self, **family: object) -> Host:
         """Start the stand-ins and the worker host."""
@@ -425,7 +431,7 @@
             "seed": "8c1f30d27a5be964",
             "stop_ms": 3200,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-            "settings": settings(**family),
+            "settings": settings(self.effects, **family),
         }
         host = Host(self.record, self.folder, config, name)
         self.hosts.append(host)
