--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -280,6 +280,18 @@
         finally:
             writer.close()
 
+    async def says_yes(self) -> bool:
+        """Make the operators' call ``check``, and return whether this process takes clients."""
+        host, port = str(self.config["ops"]).split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"check\n")
+            answer = await asyncio.wait_for(reader.readline(), 2)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return answer.startswith(b"OK")
+
     def log(self) -> str:
         """Return the log of the process."""
         return (self.folder / f"{self.name}.log").read_text(errors="replace")
@@ -308,6 +320,11 @@
     return base64.b64encode(data).decode()
 
 
+def decoded(text: str) -> bytes:
+    """Return the bytes of base64."""
+    return base64.b64decode(text)
+
+
 def address_of(server: asyncio.Server) -> str:
     """Return the address of a server."""
     return "{}:{}".format(*server.sockets[0].getsockname()[:2])
