--- a/review/6/case.py
+++ b/review/6/case.py
@@ -91,6 +91,9 @@
             await until(began + UPGRADE_AT_S)
             await successor.start()
             await consumers(broker, 2)
+            if not await successor.says_yes():
+                raise harness.NotRunError("the new process does not say yes")
+            setup.record.add("the new process says yes and consumes the queue beside the old one")
         await until(began + QUEUE_WAIT_S)
         for number, timestamp in published.items():
             setup.record.add(f"the broker delivers booking {number}")
