Derive the longest accepted request line from the protocol's figures

Cause: the front limited a line to 8 KiB, from the size that a full message has as this project writes it.

No form of a character is longer, so no valid message is, apart from white space that no encoder writes. A read of an incomplete line stops at the bound, and connections are limited so that half-written messages take a quarter of the memory limit.

--- a/lapispick/host/assembly.py
+++ b/lapispick/host/assembly.py
@@ -95,6 +95,7 @@
             config.start_settings,
             self._admission_settings,
             config.limits.max_connections,
+            config.limits.max_input_bytes,
             self.core.post,
             lambda: answers.backpressure,
         )
--- a/lapispick/host/config.py
+++ b/lapispick/host/config.py
@@ -36,6 +36,7 @@
 MIN_MEMORY_MB = 24
 MAX_MEMORY_MB = (1 << 20) - 1
 MEMORY_TO_UNSENT_RATIO = 8  # memory limit divided by the bytes that may wait for slow readers
+MEMORY_TO_INPUT_RATIO = 4  # memory limit divided by the bytes of incomplete messages of clients
 MEMORY_TO_RESULTS_RATIO = 6  # memory limit divided by the bytes of retained results
 MEMORY_TO_REQUESTS_RATIO = 6  # memory limit divided by the memory for open requests
 MAX_REQUEST_BYTES = 8192  # memory of an open request, including all that belongs to it
@@ -90,6 +91,11 @@
         """Maximum number of bytes that may wait for all slow readers together."""
         return self._memory_bytes // MEMORY_TO_UNSENT_RATIO
 
+    @property
+    def max_input_bytes(self) -> int:
+        """Maximum number of bytes of messages that clients have not sent completely."""
+        return self._memory_bytes // MEMORY_TO_INPUT_RATIO
+
     @property
     def max_result_bytes(self) -> int:
         """Maximum number of bytes of results that are retained for retries."""
--- a/lapispick/host/jsonrpc/connection.py
+++ b/lapispick/host/jsonrpc/connection.py
@@ -15,7 +15,14 @@
 from lapispick.host import events
 from lapispick.host.connection_eviction import ConnectionState, is_overdue
 from lapispick.host.jsonrpc import messages
-from lapispick.host.jsonrpc.messages import CANCEL_METHOD, HEALTH_CHECK_METHOD, ErrorCode, InvalidMessageError, Message
+from lapispick.host.jsonrpc.messages import (
+    CANCEL_METHOD,
+    HEALTH_CHECK_METHOD,
+    MAX_MESSAGE_ID,
+    ErrorCode,
+    InvalidMessageError,
+    Message,
+)
 from lapispick.host.logs import log
 from lapispick.host.requests import Answer, AnswerKind, Request
 from lapispick.host.scheduler import EventLoop
@@ -27,7 +34,6 @@
 MAX_PROTOCOL_ERRORS = 3  # without a served request in between; then the connection is closed
 STALLED_READER_S = 3.0  # a reader that has acknowledged no data for this long may be evicted
 HALF_CLOSED_TIMEOUT_S = 10.0  # for sending the answers to a slow reader that has shut down its sending side
-MAX_MESSAGE_ID = (1 << 53) - 1  # the largest integer that JSON numbers (doubles) represent exactly
 
 
 class ConnectionContext(msgspec.Struct, eq=False):
--- a/lapispick/host/jsonrpc/front.py
+++ b/lapispick/host/jsonrpc/front.py
@@ -15,6 +15,7 @@
 from lapispick.handover import budget
 from lapispick.host import connection_eviction, events
 from lapispick.host.connection_eviction import EvictionClass
+from lapispick.host.jsonrpc import messages
 from lapispick.host.jsonrpc.connection import Connection, ConnectionContext
 from lapispick.host.logs import log
 from lapispick.host.scheduler import READ, EventLoop
@@ -22,7 +23,6 @@
 from lapispick.platform_settings import StartSettings
 
 LOG = "clients"
-MAX_MESSAGE_BYTES = 8 * 1024  # a message with a body of 2 KiB has about 3,200 bytes
 RECEIVE_BYTES = 16 * 1024  # per read from a connection
 MAX_UNSENT_BYTES = 256 * 1024  # buffered for a slow reader; 32 answers of full size take less
 BACKLOG = 1024
@@ -92,9 +92,11 @@
         start_settings: StartSettings,
         settings: admission.Settings,
         max_connections: int,
+        max_input_bytes: int,
         post: Callable[[events.Event], None],
         backpressure: Callable[[], float | None],
     ) -> None:
+        """``max_input_bytes`` is how much memory the messages that are received on all connections may take."""
         self.loop = loop
         self.address = "{}:{}".format(*listen)
         self.connections: set[Connection] = set()
@@ -111,7 +113,8 @@
             needs_timeout=start_settings.host.callers_send_deadline,
             on_closed=self.connections.discard,
         )
-        self._max_connections = max_connections
+        self._max_message_bytes = messages.max_message_bytes(self._context.class_indexes, self._context.tenants)
+        self._max_connections = min(max_connections, max_input_bytes // self._max_message_bytes)
         self._idle_timeout_s = settings.idle_timeout_ms / 1000
         self._is_shutting_down = False
         self._listen_address = listen
@@ -174,7 +177,7 @@
         return True
 
     def _add_connection(self, sock: socket.socket) -> None:
-        stream = Stream(self.loop, sock, MAX_MESSAGE_BYTES, MAX_UNSENT_BYTES, RECEIVE_BYTES)
+        stream = Stream(self.loop, sock, self._max_message_bytes, MAX_UNSENT_BYTES, RECEIVE_BYTES)
         connection = Connection(self._context, stream)
         self.connections.add(connection)
         if self._is_shutting_down:
--- a/lapispick/host/jsonrpc/messages.py
+++ b/lapispick/host/jsonrpc/messages.py
@@ -8,7 +8,7 @@
 import binascii
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 from typing import TYPE_CHECKING, Literal
 
@@ -26,8 +26,13 @@
 MAX_CLOCK_SKEW_MS = 1000.0
 MAX_TIMEOUT_DEADLINE_RATIO = 10.0  # timeout / deadline of the request class; no gateway waits longer
 MAX_GATEWAY_NUMBER = (1 << 32) - 1
-ATTEMPT_ID = re.compile("[0-9a-fA-F]{16}")
-IDEMPOTENCY_KEY = re.compile("[0-9a-fA-F]{32}")
+MAX_MESSAGE_ID = (1 << 53) - 1  # the largest integer that JSON numbers (doubles) represent exactly
+ATTEMPT_ID_LENGTH = 16
+IDEMPOTENCY_KEY_LENGTH = 32
+MAX_UNUSED_PARAMS_LENGTH = 256  # in characters, of parameters that this program does not read, such as ``entity``
+MAX_CHARACTER_BYTES = 6  # of a UTF-16 code unit as the escape \\uXXXX, its longest form in JSON
+ATTEMPT_ID = re.compile(f"[0-9a-fA-F]{{{ATTEMPT_ID_LENGTH}}}")
+IDEMPOTENCY_KEY = re.compile(f"[0-9a-fA-F]{{{IDEMPOTENCY_KEY_LENGTH}}}")
 HEALTH_CHECK_METHOD = "probe"
 CANCEL_METHOD = "giveUp"
 GOAWAY = b'{"jsonrpc":"2.0","method":"goaway"}\n'
@@ -84,6 +89,37 @@
 encode = msgspec.json.Encoder().encode
 
 
+def max_message_bytes(class_names: Iterable[str], tenants: Iterable[str]) -> int:
+    """Return the length in bytes of the longest valid message in the longest form that JSON allows for its strings.
+
+    Each character of a string may be written as an escape. Counting the other characters likewise leaves room for white
+    space and for numbers with many digits, whose length JSON does not limit.
+    """
+    longest = Message(
+        "2.0",
+        method=max(class_names, key=_code_unit_count),
+        id=MAX_MESSAGE_ID,
+        params=Params(
+            attempt_id="0" * ATTEMPT_ID_LENGTH,
+            created_at_ms=time.time() * 1000,
+            gateway=MAX_GATEWAY_NUMBER,
+            tenant=max(tenants, key=_code_unit_count, default=""),
+            timeout_ms=MAX_MESSAGE_AGE_MS,
+            memory_kb=MAX_REQUEST_MEMORY_KB,
+            idempotency_key="0" * IDEMPOTENCY_KEY_LENGTH,
+            body=binascii.b2a_base64(bytes(MAX_BODY_BYTES), newline=False).decode(),
+            cancelled_id=MAX_MESSAGE_ID,
+        ),
+    )
+    character_count = _code_unit_count(encode(longest).decode()) + MAX_UNUSED_PARAMS_LENGTH
+    return character_count * MAX_CHARACTER_BYTES
+
+
+def _code_unit_count(text: str) -> int:
+    """Return the number of UTF-16 code units of a text; JSON needs one escape for each."""
+    return len(text.encode("utf-16-le")) // 2
+
+
 def validate(params: Params, settings: admission.ClassSettings, tenants: set[str], needs_timeout: bool) -> None:
     """Raise ``InvalidMessageError`` if a value is outside the protocol's bounds; no other code checks these bounds."""
     if not ATTEMPT_ID.fullmatch(params.attempt_id):
--- a/lapispick/host/streams.py
+++ b/lapispick/host/streams.py
@@ -157,12 +157,13 @@
         """Return for how many seconds the peer has made no progress in reading; 0 if nothing is buffered."""
         return self._output.stalled_s()
 
-    def _receive(self, timeout: float | None) -> bool:
-        """Add input to the buffer; return False at the end of the stream. Raises ``TimeoutError``."""
+    def _receive(self, timeout: float | None, max_bytes: int | None = None) -> bool:
+        """Add at most ``max_bytes`` to the buffer; return False at the end of the stream. Raises ``TimeoutError``."""
+        receive_bytes = self.max_receive_bytes if max_bytes is None else min(max_bytes, self.max_receive_bytes)
         waited = False
         while not self.closed:
             try:
-                data = self.sock.recv(self.max_receive_bytes)
+                data = self.sock.recv(receive_bytes)
             except BlockingIOError:
                 data = None  # the wait is outside of this handler, or each waiting greenlet would keep a traceback
             except OSError:
@@ -202,7 +203,8 @@
                 raise LineTooLongError(
                     f"received a line of at least {start} bytes, expected at most {self.max_line_bytes}"
                 )
-            if not self._receive(timeout):
+            # With the line feed; a longer line takes no more memory than the longest valid one.
+            if not self._receive(timeout, self.max_line_bytes + 1 - start):
                 return None
         if end > self.max_line_bytes:
             raise LineTooLongError(f"received a line of {end} bytes, expected at most {self.max_line_bytes}")
--- a/tests/test_connection_overload.py
+++ b/tests/test_connection_overload.py
@@ -96,7 +96,7 @@
     """Front end that reads none of its connections; ``connect`` opens a connection to it."""
     info = msgspec.convert(PLATFORM_INFO, StartSettings)
     json_rpc_front = JsonRpcFront(
-        EventLoop(), ("127.0.0.1", 0), info, admission_settings(info), 2, lambda event: None, lambda: None
+        EventLoop(), ("127.0.0.1", 0), info, admission_settings(info), 2, 1 << 20, lambda event: None, lambda: None
     )
     json_rpc_front.listen()
     host, port = json_rpc_front.address.split(":")
