Accept whole numbers in any JSON form and find the id of invalid messages

Callers saw: a request with the id 7.0 or 7e0 was answered with the id null, so its gateway never got an answer; one with "client":4.0 failed. An executor's notice with the index 1.0 was dropped, and its request failed at its deadline.

Cause: these fields are declared as int, for which the decoder rejects any float, and the decoder that looks for the id of an invalid message had the same type. A parameter that is not UTF-8 was treated as "not JSON", for which the id was not looked for at all.

Evidence: found in the search for decoders whose failure swallows an answer. Five of the new tests failed before: KeyError on the missing result, or answers with the id null.

Change: floats without a fraction become integers after decoding, and the id of an invalid message is looked for whatever made it invalid. JSON has no integer type, so no form of a whole number is left that fails.

--- a/lapispick/fakes/executor.py
+++ b/lapispick/fakes/executor.py
@@ -53,6 +53,7 @@
         # If a list, it collects the commands for the fence of a link, which are then not answered. The answer shows the
         # host that it has read all notices that it missed.
         self.withheld_fences = None
+        self.index_type = int  # with float, indexes are written like 7.0
         self.ignores_commands = False  # read commands without handling them, like a connection about to break
         super().__init__()
 
@@ -76,7 +77,7 @@
     def send_notice(self, **notice):
         """Store a notice with its index, and send it on the current connection, if it is open."""
         with self.lock:
-            notice["index"] = len(self.notices) + 1
+            notice["index"] = self.index_type(len(self.notices) + 1)
             self.notices.append(notice)
             with contextlib.suppress(OSError):
                 self.send(self.connection, **notice)
--- a/lapispick/host/executor_messages.py
+++ b/lapispick/host/executor_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lapispick.host.streams import Stream
+from lapispick.json_decoding import whole_number
 
 LOG = "executor"  # name of the logger of the link and its commands
 
@@ -33,7 +34,7 @@
     """Any message from the executor."""
 
     verb: str
-    index: int = 0  # number of a notice that the executor sends again after a lost link; 0 = never sent again
+    index: int | float = 0  # number of a notice that the executor sends again after a lost link; 0 = never sent again
     request_id: str = msgspec.field(name="task", default="")
     outcome: str = ""
     duration_ms: float = msgspec.field(name="spent", default=0.0)  # of a run; in a WELCOME the executor's uptime
@@ -41,6 +42,11 @@
     nonce: str = ""
     gauges: tuple[float, ...] = msgspec.field(name="readings", default=())
 
+    def __post_init__(self) -> None:
+        """Convert the index to ``int``."""
+        if type(self.index) is float:
+            self.index = whole_number(self.index)
+
 
 _encode = msgspec.json.Encoder().encode
 
--- a/lapispick/host/jsonrpc/connection.py
+++ b/lapispick/host/jsonrpc/connection.py
@@ -247,11 +247,8 @@
     def _on_line(self, line: bytes) -> None:
         try:
             message = messages.decode(line)
-        except msgspec.ValidationError as err:
-            self._on_invalid_message(line, err)
-            return
         except msgspec.DecodeError as err:
-            self._on_protocol_error(None, ErrorCode.PARSE_ERROR, "not JSON", closes=True, error=err)
+            self._on_invalid_message(line, err)
             return
         if message.method == CANCEL_METHOD:
             self._on_cancel(message)
@@ -315,11 +312,14 @@
         self._context.post(events.HealthCheckReceived(is_deep, reply))
 
     def _on_invalid_message(self, line: bytes, err: Exception) -> None:
-        """Answer JSON that is not a valid message, under its id if the id is readable and new."""
+        """Answer a line that is not a valid message, under its id if the id is readable and new."""
         try:
             message_id = messages.decode_id(line).id
-        except msgspec.DecodeError:
+        except msgspec.ValidationError:
             message_id = None
+        except msgspec.DecodeError:
+            self._on_protocol_error(None, ErrorCode.PARSE_ERROR, "not JSON", closes=True, error=err)
+            return
         if message_id is None or self._accept_id(message_id):
             self._on_protocol_error(message_id, ErrorCode.INVALID_REQUEST, "not a message of the protocol", error=err)
 
--- a/lapispick/host/jsonrpc/messages.py
+++ b/lapispick/host/jsonrpc/messages.py
@@ -17,7 +17,7 @@
 from lapispick import admission
 from lapispick.host.errors import HostError
 from lapispick.host.requests import MAX_BODY_BYTES, MAX_REQUEST_MEMORY_KB, Answer, Request
-from lapispick.json_decoding import json_decoder
+from lapispick.json_decoding import json_decoder, whole_number
 
 if TYPE_CHECKING:
     Fields = dict[str, str | float | bool | None]  # of a result or of the data of an error
@@ -57,16 +57,25 @@
 
     attempt_id: str = msgspec.field(default="", name="trace")
     created_at_ms: float = msgspec.field(default=0.0, name="born")  # Unix time at which the request reached the machine
-    gateway: int = msgspec.field(default=0, name="client")
+    gateway: int | float = msgspec.field(default=0, name="client")
     tenant: str = msgspec.field(default="", name="customer")
     timeout_ms: float | None = msgspec.field(default=None, name="patience")
-    is_retry: Literal[0, 1] = msgspec.field(default=0, name="redo")
+    is_retry: int | float = msgspec.field(default=0, name="redo")  # 0 or 1
     memory_kb: float = msgspec.field(default=0.0, name="size")
     rank: float = msgspec.field(default=-1.0, name="order")
     idempotency_key: str = msgspec.field(default="", name="nonce")
     body: str | None = msgspec.field(default=None, name="doc")  # base64
     is_deep: bool = msgspec.field(default=False, name="thorough")  # for health checks
-    cancelled_id: int | None = msgspec.field(default=None, name="id")  # for cancel messages
+    cancelled_id: int | float | None = msgspec.field(default=None, name="id")  # for cancel messages
+
+    def __post_init__(self) -> None:
+        """Convert whole numbers to ``int``."""
+        if type(self.gateway) is float:
+            self.gateway = whole_number(self.gateway)
+        if self.is_retry not in (0, 1):
+            raise ValueError("expected 0 or 1 as redo")
+        if type(self.cancelled_id) is float:
+            self.cancelled_id = whole_number(self.cancelled_id)
 
 
 class Message(msgspec.Struct):
@@ -74,14 +83,24 @@
 
     jsonrpc: Literal["2.0"]
     method: str
-    id: int | None = None
+    id: int | float | None = None
     params: Params = msgspec.field(default_factory=Params)
 
+    def __post_init__(self) -> None:
+        """Convert the id to ``int``."""
+        if type(self.id) is float:
+            self.id = whole_number(self.id)
+
 
 class MessageId(msgspec.Struct):
     """Id of a message whose other fields are invalid."""
 
-    id: int | None = None
+    id: int | float | None = None
+
+    def __post_init__(self) -> None:
+        """Convert the id to ``int``."""
+        if type(self.id) is float:
+            self.id = whole_number(self.id)
 
 
 decode = json_decoder(Message)
--- a/lapispick/json_decoding.py
+++ b/lapispick/json_decoding.py
@@ -22,3 +22,13 @@
             raise msgspec.DecodeError("expected JSON that is nested less deep") from None
 
     return decode
+
+
+def whole_number(number: float) -> int:
+    """Return a number without a fraction as an ``int``; JSON has no integers, so 7.0 and 7e0 are the same as 7.
+
+    Raises ``ValueError`` for a fraction. In a struct's ``__post_init__``, msgspec makes a ``ValidationError``.
+    """
+    if number % 1:
+        raise ValueError("expected a whole number")
+    return int(number)
--- a/tests/test_message_forms.py
+++ b/tests/test_message_forms.py
@@ -4,6 +4,8 @@
 import socket
 import time
 
+import pytest
+
 from lapispick.fakes.messages import request_params
 from lapispick.host.requests import MAX_BODY_BYTES
 
@@ -46,6 +48,31 @@
     assert len(worker.executor.runs_of(FULL_BODY)) == 1
 
 
+@pytest.mark.parametrize("written", ["7.0", "7e0", "70E-1"])
+def test_whole_numbers_in_any_form_are_read_and_the_answer_has_the_id(host, written):
+    # Guards against a decoder of integers that rejects 7.0, so that the answer has no id and the request is lost.
+    gateway = host().gateway()
+    line = json.dumps(full_request(redo="REDO", client="CLIENT") | {"id": "ID"}).replace('"ID"', written)
+    gateway.send_line(line.replace('"REDO"', "0.0").replace('"CLIENT"', "1.0").encode())
+    assert "result" in gateway.answer(7)
+
+
+def test_notices_whose_index_is_written_as_a_float_end_their_runs(host):
+    # Guards against a decoder that drops such a notice, so that the request gets no answer before its deadline.
+    worker = host()
+    worker.executor.index_type = float
+    gateway = worker.gateway()
+    assert gateway.result(gateway.request("track", "x")) == "did x"
+
+
+def test_text_that_is_not_unicode_in_a_parameter_is_answered_under_the_id(host):
+    # Guards against a decoder whose failure in one parameter leaves the answer without the readable id.
+    gateway = host().gateway()
+    line = json.dumps({"jsonrpc": "2.0", "id": 1, "method": "track", "params": request_params(customer="CUSTOMER")})
+    gateway.send_line(line.encode().replace(b"CUSTOMER", b"Flor\xe3ria"))
+    assert "error" in gateway.answer(1)
+
+
 def test_half_written_long_messages_on_hundreds_of_connections_stay_within_the_memory_limit(host):
     # Guards against a longer bound on messages with which slow clients fill the memory of the process.
     worker = host(limits={"sockets": MANY_SOCKETS})
