Count a booking's window from its arrival, not from its publication

Cause: Request.created_at meant the arrival for JSON-RPC and the publication for AMQP. The claim that the new process sends counted the window from it, so the old process's record ended 1.3 s after the run began. The same field made the time in a queue count as a delay of this process, which halved its slots.

Ruled out: messages of the link (both processes were linked and the claim was granted first) and the owner's announcements, whose end counts from the reading.

Evidence: the new tests with a running host and its successor, and with a message that waited, failed before: "timed out while waiting for the reply", as the repeat ran a second time, and "while waiting for the start" of the slots.

Change: requests have created_at, from which deadlines count, and arrived_at, from which windows and ages count.

--- a/lapispick/durable/records.py
+++ b/lapispick/durable/records.py
@@ -24,7 +24,7 @@
 
     state: KeyState
     incarnation: int  # of the host that wrote the record
-    created_at_ms: float  # creation time of the executed attempt
+    created_at_ms: float  # when the executed attempt reached the machine
     expires_at_ms: float  # end of the idempotency window, which starts at ``created_at_ms``
     request_digest: bytes
     result: bytes | None = None  # None if unknown or evicted
@@ -56,19 +56,21 @@
     record: DurableRecord | None,
     incarnation: int,
     request_digest: bytes,
-    created_at_ms: float,
+    arrived_at_ms: float,
     window_ms: float,
     now_ms: float,
 ) -> DurableRecord:
     """Return the record to store before the command of an attempt with the verdict ``RUN`` is sent.
 
-    A ``created_at_ms`` in the future counts as now. Otherwise a client whose clock is an hour ahead would block the key
-    for an additional hour. Raises ``InvalidTransitionError`` if the window of an existing record has not ended.
+    The window counts from ``arrived_at_ms``, when the attempt reached the machine, and not from an earlier time at
+    which its client created it. A time in the future counts as now. Otherwise a client whose clock is an hour ahead
+    would block the key for an additional hour. Raises ``InvalidTransitionError`` if the window of an existing
+    record has not ended.
     """
     if record is not None and now_ms < record.expires_at_ms:
         raise InvalidTransitionError(record.state, KeyEvent.INTEND)
-    created_at_ms = min(created_at_ms, now_ms)
-    return DurableRecord(KeyState.INTENDED, incarnation, created_at_ms, created_at_ms + window_ms, request_digest)
+    arrived_at_ms = min(arrived_at_ms, now_ms)
+    return DurableRecord(KeyState.INTENDED, incarnation, arrived_at_ms, arrived_at_ms + window_ms, request_digest)
 
 
 def start(record: DurableRecord) -> DurableRecord:
--- a/lapispick/fakes/broker.py
+++ b/lapispick/fakes/broker.py
@@ -49,6 +49,7 @@
     - ``disconnect_on``: the name of a consumer's method; the broker breaks the connection on the next such method;
     - ``nacks_left``: how many of the next publications are refused with a nack;
     - ``returns_unroutable``: return all publications to their publisher as unroutable;
+    - ``prefers_newest``: deliver to the connection that was opened last if it has capacity, not to the first one;
     - ``message_during_cancel``: properties of a message that is delivered while a consumer cancels.
     """
 
@@ -61,6 +62,7 @@
         self.disconnect_on = None
         self.nacks_left = 0
         self.returns_unroutable = False
+        self.prefers_newest = False
         self.message_during_cancel = None
         self.max_unacked = 0
         self.cancel_count = 0
@@ -101,7 +103,8 @@
         return [channel.consumer_tag for channel in channels if channel.consumer_tag]
 
     def _open_links(self):
-        return [link for link in list(self.links) if link.sock in self.connections]
+        links = [link for link in list(self.links) if link.sock in self.connections]
+        return links[::-1] if self.prefers_newest else links
 
     def serve(self, connection):
         link = BrokerConnection(self, connection)
--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -55,6 +55,7 @@
             class_index=class_index,
             body=base64.b64encode(delivery.body).decode(),
             created_at=created_at_ms,
+            arrived_at=now_ms,
             deadline_at=self._deadline_at(properties, created_at_ms, class_index),
             request_memory_kb=_memory_kb(properties, queue),
             rank=self._ranks[class_index],
--- a/lapispick/host/core/arrivals.py
+++ b/lapispick/host/core/arrivals.py
@@ -94,7 +94,7 @@
             entry_id,
             request.deadline_at,
             request.rank,
-            max(0.0, self._clock.now - request.created_at),
+            max(0.0, self._clock.now - request.arrived_at),
             retry_of,
             0.0,
             request.request_memory_kb,
--- a/lapispick/host/core/idempotency.py
+++ b/lapispick/host/core/idempotency.py
@@ -99,7 +99,7 @@
         if record is None:
             return Verdict.RUN
         request = entry.request
-        expires_at_ms = request.created_at + self._classes[request.class_index].idempotency_window_ms
+        expires_at_ms = request.arrived_at + self._classes[request.class_index].idempotency_window_ms
         return self.ownership.claim(
             entry.id, record, request.created_at, expires_at_ms, request.is_retry, self._clock.now
         )
--- a/lapispick/host/requests.py
+++ b/lapispick/host/requests.py
@@ -38,7 +38,8 @@
     class_name: str
     class_index: int
     body: str  # base64, unchanged
-    created_at: float  # Unix ms; when the request reached the machine
+    created_at: float  # Unix ms; when its client sent it; deadlines count from it
+    arrived_at: float  # Unix ms; when it reached the machine, after any wait in a queue; windows and ages count from it
     deadline_at: float  # Unix ms; 0 = no deadline given
     request_memory_kb: float
     rank: float
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -16,6 +16,7 @@
 from lapispick.host.amqp.codec import FieldType, FrameType
 from lapispick.host.amqp.content import Properties
 from lapispick.host.amqp.errors import CodecError
+from tests.host_support import fill_all_slots
 
 CONF = """
 section inventory
@@ -299,6 +300,43 @@
     assert len(old.executor.runs_of("pay") + new.executor.runs_of("pay")) == 1
 
 
+@pytest.mark.parametrize("first_at_new_process", [True, False])
+def test_a_booking_that_waited_in_its_queue_runs_once_in_an_upgrade(
+    consuming_host, host, shared_address, tmp_path, first_at_new_process
+):
+    """Guards against a window that one process counts from the publication of a message, so that it ends too early."""
+    old = consuming_host(listen=shared_address(), stop_ms=2500)
+    new = host(successor_of=old, environ={"LAPISPICK_CONF": str(tmp_path / "own.conf")})
+    wait_until(lambda: new.call_ops() == ["OK"] and len(old.broker.consumer_tags()) == 2, "two consumers")
+    booking = {"class_name": "book", "message_id": "m1", "expiration": "60000"}
+    window_ms = PLATFORM_INFO["Services"][1]["Window"]
+    waited_since_ms = int(time.time() * 1000 - 2 * window_ms)
+    old.broker.prefers_newest = first_at_new_process
+    put_request(old.broker, "hold", headers={"timestamp_in_ms": waited_since_ms}, **booking)
+    wait_until(lambda: old.executor.runs + new.executor.runs, "the run")
+    old.broker.prefers_newest = not first_at_new_process
+    _, correlation_id = put_request(old.broker, "hold", headers={"timestamp_in_ms": int(time.time() * 1000)}, **booking)
+    runner = new if first_at_new_process else old
+    runner.executor.end_run_of("hold", "done")
+    assert wait_for_answer(old, correlation_id).outcome == "served"
+    assert len(old.executor.runs + new.executor.runs) == 1
+
+
+def test_a_booking_that_waited_in_its_queue_does_not_count_as_read_late(consuming_host):
+    """Guards against the time in a queue counting as a delay of this process, which halves its slots."""
+    host = consuming_host()
+    waited_since_ms = int(time.time() * 1000 - 4000)
+    headers = {"timestamp_in_ms": waited_since_ms}
+    correlation_ids = fill_all_slots(
+        lambda: put_request(host.broker, "hold", headers=headers, expiration="60000")[1],
+        lambda: len(host.executor.runs),
+    )
+    for run in list(host.executor.runs):
+        host.executor.end_run(run.task)
+    for correlation_id in correlation_ids:
+        assert wait_for_answer(host, correlation_id).outcome == "served"
+
+
 @pytest.mark.parametrize("tenant", [7.5, True, {"name": "shop"}])
 def test_a_tenant_that_is_no_text_is_an_error_to_its_sender(consuming_host, tenant):
     info = make_platform_info()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -100,6 +100,7 @@
         class_index=class_index,
         body="",
         created_at=1.0,
+        arrived_at=1.0,
         deadline_at=0.0,
         request_memory_kb=1.0,
         rank=0.5,
