Match the release of a claimed key with the end that the claim named

Callers saw: if a keyed request reached both processes of an upgrade, and the one that had claimed the key did not run it after all, the other one's tries got no result and failed at their deadlines.

Cause: a release identifies its claim by the end of the window, and was compared with the end of the receiver's own record, which counts from another arrival. A later end made the release look like one of an earlier window.

Evidence: the new test failed before, for a release by either process: the record stayed in the other one.

Change: a record keeps the end that the claim named, and a release is compared with it. A claim for a later window names a later end, so an old release still leaves it alone; the test of claims that time out shows that.

--- a/lapispick/idempotency/table.py
+++ b/lapispick/idempotency/table.py
@@ -31,6 +31,9 @@
     # The number of an attempt and not the attempt itself: that would make a reference cycle, which the garbage
     # collector may free only minutes later.
     executed_attempt: int = NOT_EXECUTED
+    # End of the window that the peer counts for its claim. The window of this record may end later, if an attempt
+    # reached this process later.
+    peer_claim_expires_at_ms: float = 0.0
     state: KeyState = KeyState.INTENDED
     result: str | None = None  # None in a completed record: the execution failed, or its result was evicted
     waiters: list[Any] = []  # attempts to notify when the record is completed
@@ -135,6 +138,7 @@
         if record is None or record.executed_attempt:  # supersedes an execution of an earlier window
             record = self.retain(key, EXECUTED_BY_PEER, inf, expires_at_ms, request_digest)
         record.mark_started(EXECUTED_BY_PEER, expires_at_ms)
+        record.peer_claim_expires_at_ms = expires_at_ms
         record.request_digest = request_digest
 
     def complete_by_peer(self, key: Hashable, result: str | None) -> list[Any]:
@@ -147,10 +151,12 @@
     def release_by_peer(self, key: Hashable, expires_at_ms: float) -> list[Any]:
         """Remove the record of a key that the peer claimed but did not execute; return the waiters.
 
-        ``expires_at_ms`` identifies the claim: a record of a later window stays.
+        ``expires_at_ms`` identifies the claim: a later claim of the peer stays.
         """
         record = self._records.get(key)
-        if record is None or record.executed_attempt != EXECUTED_BY_PEER or record.expires_at_ms > expires_at_ms:
+        if record is None or record.executed_attempt != EXECUTED_BY_PEER:
+            return []
+        if record.peer_claim_expires_at_ms > expires_at_ms:
             return []
         return self.remove(record)
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -77,11 +77,16 @@
         record = self.table.find(key, now)
         if record is not None and (record.executed_attempt or record.completed):
             return self.coalesce(attempt, record)
-        record = self.table.retain(key, attempt, now, now + WINDOW_MS, digest_request("book", key[1]))
-        self.records[attempt] = record
+        record = self.queue(key, attempt, now)
         self.executions.created_at[attempt] = now
         self.on_verdict(attempt, self.ownership.claim(attempt, record, now, now + WINDOW_MS, is_retry, now))
 
+    def queue(self, key, attempt, now):
+        """Queue an attempt without claiming its key."""
+        record = self.table.retain(key, attempt, now, now + WINDOW_MS, digest_request("book", key[1]))
+        self.records[attempt] = record
+        return record
+
     def coalesce(self, attempt, record):
         if record.completed:
             self.answer(attempt, record.result or "failed")
@@ -286,6 +291,21 @@
     assert executions.by_key
 
 
+@pytest.mark.parametrize("is_released_by_owner", [True, False])
+def test_a_release_takes_effect_where_a_later_attempt_was_queued(is_released_by_owner):
+    # Guards against a release that names the end of one process's window, while the other one's record ends later.
+    executions, old, new = make_pair()
+    old.link_to(new)
+    runner, other = (old, new) if is_released_by_owner else (new, old)
+    runner.request(KEYS[0], executions.now)
+    other.queue(KEYS[0], 2, executions.now + 1)
+    deliver_all(old, new)
+    assert list(runner.running_attempts) == [1]
+    runner.ownership.release(runner.running_attempts.pop(1))
+    deliver_all(old, new)
+    assert other.table.get(KEYS[0]) is None
+
+
 class RandomUpgrade:
     """Simulation of an upgrade with random events; raises ``AssertionError`` if a key is executed twice."""
 
