Answer AMQP messages whose headers are not UTF-8 or can't be decoded

Cause: the codec decoded each text strictly as UTF-8, where a long string of a field table is a length and octets, and a failure in any property discarded all of them. A routing key that is not UTF-8 even ended the queue's connection, and the broker delivered the message again on the next one.

Change: texts keep bytes that are not UTF-8 and are encoded as the same bytes again; the table of the headers is read by its length and decoded last, and what can be read is kept, so that a message with a reply-to that can be located gets a reply. The type U and further words of flags are read. A message-id or customer that becomes part of a key must be UTF-8 and is answered as failed otherwise.

--- a/lapispick/fakes/broker.py
+++ b/lapispick/fakes/broker.py
@@ -50,6 +50,7 @@
     - ``nacks_left``: how many of the next publications are refused with a nack;
     - ``returns_unroutable``: return all publications to their publisher as unroutable;
     - ``prefers_newest``: deliver to the connection that was opened last if it has capacity, not to the first one;
+    - ``routing_key``: the one that deliveries name in place of the queue;
     - ``message_during_cancel``: properties of a message that is delivered while a consumer cancels.
     """
 
@@ -63,6 +64,7 @@
         self.nacks_left = 0
         self.returns_unroutable = False
         self.prefers_newest = False
+        self.routing_key = ""
         self.message_during_cancel = None
         self.max_unacked = 0
         self.cancel_count = 0
--- a/lapispick/fakes/broker_connection.py
+++ b/lapispick/fakes/broker_connection.py
@@ -207,7 +207,7 @@
                 delivery_tag=channel.last_delivery_tag,
                 exchange="",
                 redelivered=message.redelivered,
-                routing_key=channel.queue,
+                routing_key=self._broker.routing_key or channel.queue,
             ),
         )
         self.sock.sendall(message.content_frames(channel_number))
--- a/lapispick/host/amqp/codec.py
+++ b/lapispick/host/amqp/codec.py
@@ -1,6 +1,8 @@
 """Codec of AMQP 0-9-1 frames and of the values in them: integers, strings and field tables.
 
-The encoding is the one of the public specification.
+The encoding is the one of the public specification. A short string is UTF-8 there, which a broker need not check, and a
+long string holds any bytes. In decoded texts, bytes that are not UTF-8 are lone surrogates, and they are encoded as the
+same bytes again; ``is_unicode`` recognises them.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 MIN_FRAME_MAX_BYTES = 4096  # every peer must accept frames of this size before the negotiation
 MAX_TABLE_DEPTH = 16  # of nested tables and arrays
 MAX_SHORT_STRING_BYTES = 255
+KEEP_BYTES = "surrogateescape"  # error handler of the text codec that keeps bytes which are not UTF-8
 
 
 class FrameType(IntEnum):
@@ -58,6 +61,7 @@
     "b": NUMBER_STRUCTS["b"],
     "B": NUMBER_STRUCTS["B"],
     "s": NUMBER_STRUCTS["h"],
+    "U": NUMBER_STRUCTS["h"],
     "u": NUMBER_STRUCTS["H"],
     "I": NUMBER_STRUCTS["i"],
     "i": NUMBER_STRUCTS["I"],
@@ -103,12 +107,7 @@
 
     def read_table(self, depth: int = 0) -> dict[str, object]:
         """Read a field table."""
-        inner = Reader(self.read_long_string())
-        table: dict[str, object] = {}
-        while inner.has_more():
-            name = inner.read_short_string()
-            table[name] = inner.read_table_value(depth)
-        return table
+        return decode_table(self.read_long_string(), depth)
 
     def read_table_value(self, depth: int) -> object:
         """Read a value of a table, which is preceded by its type code."""
@@ -128,7 +127,7 @@
             scale = self.read_integer("B")
             return self.read_integer("i") / 10**scale
         if type_code == "F":
-            return self.read_table(depth + 1)
+            return decode_table(self.read_long_string(), depth + 1)
         if type_code == "A":
             return self._read_array(depth)
         if type_code == "V":
@@ -143,15 +142,31 @@
         return items
 
 
+def decode_table(encoded: bytes, depth: int = 0) -> dict[str, object]:
+    """Return the field table that is encoded after its length; ``depth`` is the number of tables around it."""
+    reader = Reader(encoded)
+    table: dict[str, object] = {}
+    while reader.has_more():
+        name = reader.read_short_string()
+        table[name] = reader.read_table_value(depth)
+    return table
+
+
 def _decode_text(raw: bytes) -> str:
-    try:
-        return raw.decode()
-    except UnicodeDecodeError as err:
-        raise CodecError(f"a string is not UTF-8: {err}") from None
+    return raw.decode(errors=KEEP_BYTES)
+
+
+def _encode_text(text: str) -> bytes:
+    return text.encode(errors=KEEP_BYTES)
+
+
+def is_unicode(text: str) -> bool:
+    """Return True if a text that was received is UTF-8."""
+    return not any("\ud800" <= character <= "\udfff" for character in text)
 
 
 def _encode_short_string(text: str) -> bytes:
-    raw = text.encode()
+    raw = _encode_text(text)
     if len(raw) > MAX_SHORT_STRING_BYTES:
         raise CodecError(f"a short string of {len(raw)} bytes")
     return bytes([len(raw)]) + raw
@@ -179,7 +194,7 @@
         return b"d" + NUMBER_STRUCTS["d"].pack(value)
     if isinstance(value, dict):
         return b"F" + encode_table(value)
-    return b"S" + _encode_long_string(str(value).encode())
+    return b"S" + _encode_long_string(_encode_text(str(value)))
 
 
 def encoder(field_type: FieldType) -> Callable[[Any], bytes]:
--- a/lapispick/host/amqp/content.py
+++ b/lapispick/host/amqp/content.py
@@ -11,18 +11,19 @@
     FieldType,
     FrameType,
     Reader,
+    decode_table,
     decoder,
     encode_frame,
     encoder,
 )
-from lapispick.host.amqp.errors import CodecError
+from lapispick.host.amqp.errors import CodecError, MalformedPropertiesError
 
 BASIC_CLASS_ID = 60
 CONTENT_WEIGHT = 0  # reserved by the specification
 CONTENT_HEADER = struct.Struct(">HHQH")  # class, weight, body size in bytes, flags of the properties that are present
 FLAGS_OFFSET_BYTES = 12  # from the start of the content header
 FIRST_FLAG_BIT = 15  # position of the flag of the first property
-CONTINUATION_FLAG = 1  # more flags follow, for properties that the basic class does not have
+CONTINUATION_FLAG = 1  # a further word of flags follows; the basic class has no properties for it
 
 
 class Properties(msgspec.Struct):
@@ -53,7 +54,8 @@
 PROPERTY_TYPES = {name: NON_STRING_TYPES.get(name, FieldType.SHORT_STRING) for name in Properties.__struct_fields__}
 PROPERTY_FLAGS = {name: 1 << (FIRST_FLAG_BIT - position) for position, name in enumerate(PROPERTY_TYPES)}
 ENCODERS = [(name, PROPERTY_FLAGS[name], encoder(field_type)) for name, field_type in PROPERTY_TYPES.items()]
-DECODERS = [(name, PROPERTY_FLAGS[name], decoder(field_type)) for name, field_type in PROPERTY_TYPES.items()]
+READERS = [(name, PROPERTY_FLAGS[name], decoder(field_type)) for name, field_type in PROPERTY_TYPES.items()]
+HEADERS = "headers"
 
 
 def encode_header(channel: int, body_size: int, properties: Properties) -> bytes:
@@ -78,19 +80,40 @@
 
 
 def decode_properties(payload: bytes) -> Properties:
-    """Return the properties from a content header; raise ``CodecError`` if they are malformed."""
+    """Return the properties from a content header.
+
+    Raises ``MalformedPropertiesError`` with the properties that can be read, such as ``reply_to``, if others can't.
+    """
     reader = Reader(payload)
-    reader.read_bytes(FLAGS_OFFSET_BYTES)
-    flags = reader.read_integer("H")
-    if flags & CONTINUATION_FLAG:
-        raise CodecError("the content header has a second field of property flags, expected one")
     properties = Properties()
-    for name, flag, decode in DECODERS:
-        if flags & flag:
-            setattr(properties, name, decode(reader))
+    encoded_headers = b""
+    try:
+        reader.read_bytes(FLAGS_OFFSET_BYTES)
+        flags, *further_flags = _read_flags(reader)
+        for name, flag, read in READERS:
+            if not flags & flag:
+                continue
+            if name == HEADERS:
+                encoded_headers = reader.read_long_string()
+            else:
+                setattr(properties, name, read(reader))
+        if any(word & ~CONTINUATION_FLAG for word in further_flags):
+            raise CodecError("the content header has flags of properties that the basic class does not have")
+        # Last, as the properties after a malformed table can be read: its length precedes it.
+        properties.headers = decode_table(encoded_headers)
+    except CodecError as err:
+        raise MalformedPropertiesError(str(err), properties) from None
     return properties
 
 
+def _read_flags(reader: Reader) -> list[int]:
+    """Read the property flags: one word, and a further one after each word with the continuation flag."""
+    words = [reader.read_integer("H")]
+    while words[-1] & CONTINUATION_FLAG:
+        words.append(reader.read_integer("H"))
+    return words
+
+
 def encode_content(channel: int, properties: Properties, body: bytes, frame_max_bytes: int) -> bytes:
     """Encode a content header and its body, split into frames of at most ``frame_max_bytes``."""
     max_payload_bytes = frame_max_bytes - FRAME_OVERHEAD_BYTES
--- a/lapispick/host/amqp/deliveries.py
+++ b/lapispick/host/amqp/deliveries.py
@@ -6,7 +6,7 @@
 
 from lapispick.host.amqp.codec import Frame, FrameType
 from lapispick.host.amqp.content import Properties, decode_body_size, decode_properties
-from lapispick.host.amqp.errors import CodecError, ConnectionClosedError, ReplyCode
+from lapispick.host.amqp.errors import ConnectionClosedError, MalformedPropertiesError, ReplyCode
 from lapispick.host.logs import log
 from lapispick.host.requests import MAX_BODY_BYTES, Answer
 
@@ -23,6 +23,7 @@
         "body_size",
         "is_unroutable",
         "properties",
+        "properties_error",
         "publish_attempts",
         "redelivered",
         "tag",
@@ -31,7 +32,8 @@
     def __init__(self, tag: int, redelivered: bool = False) -> None:
         self.tag = tag
         self.redelivered = redelivered
-        self.properties: Properties | None = None  # None: malformed
+        self.properties = Properties()  # those that could be read
+        self.properties_error = ""  # why others could not be read
         self.body_size = 0  # bytes, from the content header; the body of a message that is too long is not stored
         self.body = bytearray()
         self.answer: Answer | None = None
@@ -46,7 +48,7 @@
     @property
     def reply_to(self) -> str:
         """Return the queue for the reply; empty if the requester expects no reply."""
-        return (self.properties.reply_to or "") if self.properties is not None else ""
+        return self.properties.reply_to or ""
 
 
 class ContentAssembler:
@@ -85,7 +87,9 @@
         self._has_header = True
         try:
             delivery.properties = decode_properties(payload)
-        except CodecError as err:  # only this message is affected, since its size is known
+        except MalformedPropertiesError as err:  # only this message is affected, since its size is known
+            delivery.properties = err.properties
+            delivery.properties_error = str(err)
             log(LOG, logging.WARNING, "properties-malformed", queue=self._queue_name, error=err)
         return delivery
 
--- a/lapispick/host/amqp/errors.py
+++ b/lapispick/host/amqp/errors.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from lapispick.host.errors import HostError
 
+if TYPE_CHECKING:
+    from lapispick.host.amqp.content import Properties
+
 
 class ReplyCode(IntEnum):
     """Reply codes that this client sends, with the names and numbers of the specification."""
@@ -28,6 +32,14 @@
     reply_code = ReplyCode.SYNTAX_ERROR
 
 
+class MalformedPropertiesError(CodecError):
+    """Error for a content header of which some properties can't be decoded; the others are in ``properties``."""
+
+    def __init__(self, text: str, properties: Properties) -> None:
+        super().__init__(text)
+        self.properties = properties
+
+
 class ConnectionClosedError(AmqpError):
     """Error that ends a connection: the broker closed it, or it can't continue.
 
--- a/lapispick/host/amqp/replies.py
+++ b/lapispick/host/amqp/replies.py
@@ -37,7 +37,6 @@
 
     def _properties(self, delivery: Delivery, answer: Answer) -> Properties:
         request = delivery.properties
-        assert request is not None
         return Properties(
             headers=_headers(answer),
             type=answer.kind.value,
@@ -51,7 +50,7 @@
 
     def mark_unroutable(self, returned: Delivery) -> bool:
         """Record that the broker returned a reply; return False if no unconfirmed reply matches it."""
-        message_id = returned.properties.message_id if returned.properties else None
+        message_id = returned.properties.message_id
         matching = [delivery for delivery in self._unconfirmed.values() if self._message_id(delivery) == message_id]
         for delivery in matching:
             delivery.is_unroutable = True
--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from lapispick import admission
+from lapispick.host.amqp.codec import is_unicode
 from lapispick.host.amqp.content import Properties
 from lapispick.host.amqp.deliveries import Delivery
 from lapispick.host.amqp.errors import InvalidMessageError
@@ -35,8 +36,8 @@
         """Return the request of a message; raise ``InvalidMessageError`` if the message is invalid."""
         now_ms = time.time() * 1000
         properties = delivery.properties
-        if properties is None:
-            raise InvalidMessageError("the message properties are malformed")
+        if delivery.properties_error:
+            raise InvalidMessageError(f"the message properties are malformed: {delivery.properties_error}")
         if delivery.body_size > MAX_BODY_BYTES:
             raise InvalidMessageError(f"the body has {delivery.body_size} bytes, expected at most {MAX_BODY_BYTES}")
         class_index = self._class_index(properties, queue)
@@ -44,10 +45,8 @@
         idempotency = self._classes[class_index].idempotency
         tenant = self._tenant(properties, queue)
         is_keyed = idempotency is admission.Idempotency.KEYED
-        if is_keyed and not properties.message_id:
-            raise InvalidMessageError(
-                f"{class_name} requires a message-id, without which a duplicate could be executed"
-            )
+        if is_keyed:
+            _check_message_id(properties, class_name)
         created_at_ms = min(now_ms, _created_at_ms(properties) or now_ms)
         return Request(
             request_id=f"{random.getrandbits(64):016x}",
@@ -83,6 +82,8 @@
             tenant = str(tenant)
         if not isinstance(tenant, str):
             raise InvalidMessageError(f"expected the header customer as text or a whole number, got a {_kind(tenant)}")
+        if not is_unicode(tenant):
+            raise InvalidMessageError(f"expected the header customer in UTF-8, got {tenant!r}")
         if self._tenants and tenant not in self._tenants:
             raise InvalidMessageError(f"unknown customer {tenant!r}")
         return tenant
@@ -98,6 +99,15 @@
         return created_at_ms + float(expiration)
 
 
+def _check_message_id(properties: Properties, class_name: str) -> None:
+    """Raise ``InvalidMessageError`` if a message of a keyed class has no message-id that can become part of a key."""
+    message_id = properties.message_id
+    if not message_id:
+        raise InvalidMessageError(f"{class_name} requires a message-id, without which a duplicate could be executed")
+    if not is_unicode(message_id):
+        raise InvalidMessageError(f"expected a message-id in UTF-8, got {message_id!r}")
+
+
 def _kind(value: object) -> str:
     """Return the name of the type of a header's value, for a message to its sender."""
     return {dict: "table", list: "array", bytes: "byte array"}.get(type(value), type(value).__name__)
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -400,6 +400,96 @@
     assert malformed.delivery_count == 1
 
 
+LATIN_2 = "Florăria".encode("iso8859_2")
+
+
+def put_with_content(broker, body, replaced=(), flags=(), **properties):
+    """Put a message with a reply queue whose encoded content is changed; return it and its correlation id.
+
+    ``replaced`` holds pairs of bytes of the same length; ``flags`` holds words that follow the first word of flags.
+    """
+    correlation_id = f"c{len(broker.messages)}"
+    properties = {"type": "track", "correlation_id": correlation_id, "reply_to": "answers", **properties}
+
+    def encode(channel):
+        header = payload_of(content.encode_header(channel, len(body), Properties(**properties)))
+        for old, new in replaced:
+            assert old in header
+            assert len(old) == len(new)
+            header = header.replace(old, new)
+        flags_end = content.CONTENT_HEADER.size
+        if flags:
+            first_word = header[flags_end - 2] << 8 | header[flags_end - 1] | content.CONTINUATION_FLAG
+            words = struct.pack(f">{1 + len(flags)}H", first_word, *flags)
+            header = header[: flags_end - 2] + words + header[flags_end:]
+        frames = codec.encode_frame(FrameType.HEADER, channel, header)
+        return frames + codec.encode_frame(FrameType.BODY, channel, body.encode())
+
+    return broker.put("jobs", body, encode_first_content=encode, **properties), correlation_id
+
+
+@pytest.mark.parametrize(
+    "content_change",
+    [
+        {"headers": {"shop-name": "########"}, "replaced": [(b"########", LATIN_2)]},
+        {"headers": {"########": 1}, "replaced": [(b"########", LATIN_2)]},
+        {"headers": {"in": {"name": "########"}}, "replaced": [(b"########", LATIN_2)]},
+        {"headers": {"n": 7}, "replaced": [(b"\x01nl" + bytes(7) + b"\x07", b"\x01nU\xff\xfe\x01mb\x01\x00V")]},
+        {"app_id": "########", "replaced": [(b"########", LATIN_2)]},
+        {"flags": [0]},
+        {"flags": [content.CONTINUATION_FLAG, 0]},
+    ],
+)
+def test_a_message_is_served_whatever_its_other_properties_hold(consuming_host, content_change):
+    # Guards against a property that says nothing about the request and whose text or type makes the message unreadable.
+    host = consuming_host()
+    message, correlation_id = put_with_content(host.broker, "x", **content_change)
+    assert wait_for_answer(host, correlation_id).outcome == "served"
+    wait_until(lambda: message.settlement == "ack", "the acknowledgement")
+
+
+@pytest.mark.parametrize(
+    "content_change",
+    [
+        {"headers": {"n": 7}, "replaced": [(b"\x01nl", b"\x01n?")]},  # no type of the specification
+        {
+            "headers": {"n": "text"},
+            "replaced": [(b"\x00\x00\x00\x04text", b"\x00\x00\x00\x09text")],
+        },  # length beyond the table
+        {"headers": {"customer": "########"}, "replaced": [(b"########", LATIN_2)]},
+        {"type": "########", "replaced": [(b"########", LATIN_2)]},
+        {"type": "book", "message_id": "########", "replaced": [(b"########", LATIN_2)]},
+        {"flags": [0x8000]},
+    ],
+)
+def test_a_message_that_cannot_be_read_in_full_gets_a_reply(consuming_host, content_change):
+    # Guards against a decoder whose failure in one property drops ``reply-to``, so that the client waits in vain.
+    host = consuming_host()
+    message, correlation_id = put_with_content(host.broker, "x", **content_change)
+    assert wait_for_answer(host, correlation_id).outcome == "failed"
+    wait_until(lambda: message.settlement == "ack", "the acknowledgement")
+    assert not host.executor.runs
+
+
+def test_a_reply_reaches_a_queue_and_has_a_correlation_id_that_are_not_utf_8(consuming_host):
+    # Guards against texts that are not encoded as the bytes from which they were decoded.
+    host = consuming_host()
+    replaced = [(b"########", LATIN_2), (b"++++++++", LATIN_2)]
+    put_with_content(host.broker, "x", replaced, correlation_id="########", reply_to="++++++++")
+    text = LATIN_2.decode(errors=codec.KEEP_BYTES)
+    assert wait_until(lambda: host.broker.reply(text), "the reply").outcome == "served"
+    assert [reply.queue.encode(errors=codec.KEEP_BYTES) for reply in host.broker.replies] == [LATIN_2]
+
+
+def test_a_routing_key_that_is_not_utf_8_does_not_end_the_connection(consuming_host):
+    # Guards against one message that ends the connection of its queue each time that it is delivered.
+    host = consuming_host()
+    host.broker.routing_key = LATIN_2.decode(errors=codec.KEEP_BYTES)
+    _, correlation_id = put_request(host.broker, "x")
+    assert wait_for_answer(host, correlation_id).outcome == "served"
+    assert host.log().count("event=connected") == 1
+
+
 def test_a_channel_that_the_broker_closed_is_opened_again(consuming_host):
     host = consuming_host()
     with host.broker.lock:
