--- a/lapispick/fakes/broker.py
+++ b/lapispick/fakes/broker.py
@@ -28,11 +28,11 @@
         self.settlement = None
         self.delivery_count = 0
 
-    def content_frames(self, channel_number):
+    def content_frames(self, channel_number, frame_max_bytes):
         """Return the content frames of the current delivery."""
         if self.encode_first_content and self.delivery_count == 1:
             return self.encode_first_content(channel_number)
-        return content.encode_content(channel_number, self.properties, self.body, MAX_FRAME_BYTES)
+        return content.encode_content(channel_number, self.properties, self.body, frame_max_bytes)
 
 
 class Answer(NamedTuple):
@@ -50,12 +50,14 @@
     - ``nacks_left``: how many of the next publications are refused with a nack;
     - ``returns_unroutable``: return all publications to their publisher as unroutable;
     - ``prefers_newest``: deliver to the connection that was opened last if it has capacity, not to the first one;
+    - ``withholds_confirms``: confirm no publication, so that the messages that they answer stay unsettled;
     - ``routing_key``: the one that deliveries name in place of the queue;
     - ``message_during_cancel``: properties of a message that is delivered while a consumer cancels.
     """
 
-    def __init__(self, heartbeat=10):
+    def __init__(self, heartbeat=10, frame_max_bytes=MAX_FRAME_BYTES):
         self.heartbeat = heartbeat  # s
+        self.frame_max_bytes = frame_max_bytes
         self.links = []  # one ``BrokerConnection`` for each open connection
         self.messages = []
         self.replies = []
@@ -65,6 +67,7 @@
         self.returns_unroutable = False
         self.prefers_newest = False
         self.routing_key = ""
+        self.withholds_confirms = False
         self.message_during_cancel = None
         self.max_unacked = 0
         self.cancel_count = 0
--- a/lapispick/fakes/broker_connection.py
+++ b/lapispick/fakes/broker_connection.py
@@ -117,12 +117,12 @@
         self.send_method(
             0,
             methods.ConnectionTune(
-                channel_max=MAX_CHANNELS, frame_max=MAX_FRAME_BYTES, heartbeat=self._broker.heartbeat
+                channel_max=MAX_CHANNELS, frame_max=self._broker.frame_max_bytes, heartbeat=self._broker.heartbeat
             ),
         )
 
     def on_connection_tune_ok(self, channel_number, method):
-        assert method.frame_max == MAX_FRAME_BYTES
+        assert method.frame_max == self._broker.frame_max_bytes
         assert method.heartbeat <= self._broker.heartbeat
 
     def on_connection_open(self, channel_number, method):
@@ -210,7 +210,7 @@
                 routing_key=self._broker.routing_key or channel.queue,
             ),
         )
-        self.sock.sendall(message.content_frames(channel_number))
+        self.sock.sendall(message.content_frames(channel_number, self._broker.frame_max_bytes))
 
     # Publications.
 
@@ -247,7 +247,8 @@
         else:
             reply = Reply(publication.queue, publication.properties, publication.body.decode())
             self._broker.replies.append(reply)
-        self.send_method(channel_number, methods.BasicAck(delivery_tag=delivery_tag, multiple=False))
+        if not self._broker.withholds_confirms:
+            self.send_method(channel_number, methods.BasicAck(delivery_tag=delivery_tag, multiple=False))
 
     def _return_publication(self, channel_number, publication):
         self.send_method(
@@ -257,5 +258,7 @@
             ),
         )
         self.sock.sendall(
-            content.encode_content(channel_number, publication.properties, publication.body, MAX_FRAME_BYTES)
+            content.encode_content(
+                channel_number, publication.properties, publication.body, self._broker.frame_max_bytes
+            )
         )
