Decode only the AMQP headers that describe a request, and drop them early

Cause: each field of a few bytes became a dictionary entry, and the delivery kept the table until it was settled, up to 1,000 messages of a queue.

Change: the four fields that describe a request are decoded and the others are skipped by their length; headers and body are dropped once the request is built. What a message keeps is its properties of at most 255 bytes each, so the number and size of header fields no longer matter.

--- a/lapispick/host/amqp/channel.py
+++ b/lapispick/host/amqp/channel.py
@@ -216,6 +216,8 @@
             log(LOG, logging.WARNING, "message-unusable", queue=self.queue.name, error=err)
             self._answer(delivery, Answer(AnswerKind.FAILED))
             return
+        finally:
+            delivery.drop_content()
         self.owner.post(events.RequestArrived(request))
 
     def _answer(self, delivery: Delivery, answer: Answer) -> None:
--- a/lapispick/host/amqp/codec.py
+++ b/lapispick/host/amqp/codec.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, IntEnum
 from typing import Any, NamedTuple
 
@@ -19,6 +19,7 @@
 FRAME_END = 0xCE
 FRAME_OVERHEAD_BYTES = 8  # header and end byte of a frame
 MIN_FRAME_MAX_BYTES = 4096  # every peer must accept frames of this size before the negotiation
+LENGTH_BYTES = 4  # of the length before a long string, a table or an array
 MAX_TABLE_DEPTH = 16  # of nested tables and arrays
 MAX_SHORT_STRING_BYTES = 255
 KEEP_BYTES = "surrogateescape"  # error handler of the text codec that keeps bytes which are not UTF-8
@@ -73,24 +74,33 @@
 }
 
 
+# The size in bytes of the values of fixed size in a field table, by their type code.
+TABLE_VALUE_SIZES = {ord(code): layout.size for code, layout in TABLE_NUMBER_STRUCTS.items()} | {
+    ord("t"): 1,
+    ord("D"): 5,
+    ord("V"): 0,
+}
+SIZED_TABLE_TYPES = frozenset(b"SxFA")  # their values are preceded by their length
+
+
 class Reader:
     """Reader of the values in a payload; raises ``CodecError`` if the payload is too short."""
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, position: int = 0) -> None:
         self._data = data
-        self._position = 0
+        self.position = position  # of the next byte to read
 
     def has_more(self) -> bool:
         """Return True if unread bytes are left."""
-        return self._position < len(self._data)
+        return self.position < len(self._data)
 
     def read_bytes(self, size: int) -> bytes:
         """Read the next ``size`` bytes."""
-        bytes_left = len(self._data) - self._position
+        bytes_left = len(self._data) - self.position
         if size > bytes_left:
             raise CodecError(f"{size} bytes wanted, {bytes_left} left")
-        self._position += size
-        return self._data[self._position - size : self._position]
+        self.position += size
+        return self._data[self.position - size : self.position]
 
     def read_integer(self, code: str) -> int:
         """Read an integer with this ``struct`` code."""
@@ -152,6 +162,42 @@
     return table
 
 
+def decode_fields(encoded: bytes, names: Collection[str]) -> dict[str, object]:
+    """Return the fields of a table that have one of these names, where ``encoded`` has no length before it.
+
+    The values of other fields are skipped: a publisher may send tens of thousands of fields, which would take megabytes
+    when decoded, and their content does not matter. Raises ``CodecError`` where the next field can't be located.
+    """
+    raw_names = {_encode_text(name): name for name in names}
+    fields: dict[str, object] = {}
+    position = 0
+    while position < len(encoded):
+        name_end = position + 1 + encoded[position]
+        raw_name = encoded[position + 1 : name_end]
+        if raw_name in raw_names:
+            reader = Reader(encoded, name_end)
+            fields[raw_names[raw_name]] = reader.read_table_value(depth=0)
+            position = reader.position
+        else:
+            position = _value_end(encoded, name_end)
+    return fields
+
+
+def _value_end(encoded: bytes, position: int) -> int:
+    """Return the end of a table's value that begins at a position with its type code."""
+    type_code = encoded[position] if position < len(encoded) else -1
+    end = position + 1
+    if type_code in TABLE_VALUE_SIZES:
+        end += TABLE_VALUE_SIZES[type_code]
+    elif type_code in SIZED_TABLE_TYPES:
+        end += LENGTH_BYTES + int.from_bytes(encoded[end : end + LENGTH_BYTES])
+    else:
+        raise CodecError(f"unknown field type {type_code}" if type_code >= 0 else "a table ends within a field")
+    if end > len(encoded):
+        raise CodecError("a table ends within a field")
+    return end
+
+
 def _decode_text(raw: bytes) -> str:
     return raw.decode(errors=KEEP_BYTES)
 
--- a/lapispick/host/amqp/content.py
+++ b/lapispick/host/amqp/content.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Collection
 
 import msgspec
 
@@ -11,6 +12,7 @@
     FieldType,
     FrameType,
     Reader,
+    decode_fields,
     decode_table,
     decoder,
     encode_frame,
@@ -25,6 +27,13 @@
 FIRST_FLAG_BIT = 15  # position of the flag of the first property
 CONTINUATION_FLAG = 1  # a further word of flags follows; the basic class has no properties for it
 
+# Headers that describe a request; no others are decoded.
+CLASS_HEADER = "class"
+TENANT_HEADER = "customer"
+CREATED_AT_HEADER = "timestamp_in_ms"
+MEMORY_HEADER = "size"
+REQUEST_HEADERS = frozenset((CLASS_HEADER, TENANT_HEADER, CREATED_AT_HEADER, MEMORY_HEADER))
+
 
 class Properties(msgspec.Struct):
     """The properties of a message, in the order of their flags; None if absent."""
@@ -79,8 +88,8 @@
     return reader.read_integer("Q")
 
 
-def decode_properties(payload: bytes) -> Properties:
-    """Return the properties from a content header.
+def decode_properties(payload: bytes, header_names: Collection[str] | None = None) -> Properties:
+    """Return the properties from a content header, with the headers of these names, or all if it is None.
 
     Raises ``MalformedPropertiesError`` with the properties that can be read, such as ``reply_to``, if others can't.
     """
@@ -100,7 +109,10 @@
         if any(word & ~CONTINUATION_FLAG for word in further_flags):
             raise CodecError("the content header has flags of properties that the basic class does not have")
         # Last, as the properties after a malformed table can be read: its length precedes it.
-        properties.headers = decode_table(encoded_headers)
+        if header_names is None:
+            properties.headers = decode_table(encoded_headers)
+        else:
+            properties.headers = decode_fields(encoded_headers, header_names)
     except CodecError as err:
         raise MalformedPropertiesError(str(err), properties) from None
     return properties
--- a/lapispick/host/amqp/deliveries.py
+++ b/lapispick/host/amqp/deliveries.py
@@ -5,7 +5,7 @@
 import logging
 
 from lapispick.host.amqp.codec import Frame, FrameType
-from lapispick.host.amqp.content import Properties, decode_body_size, decode_properties
+from lapispick.host.amqp.content import REQUEST_HEADERS, Properties, decode_body_size, decode_properties
 from lapispick.host.amqp.errors import ConnectionClosedError, MalformedPropertiesError, ReplyCode
 from lapispick.host.logs import log
 from lapispick.host.requests import MAX_BODY_BYTES, Answer
@@ -40,6 +40,11 @@
         self.publish_attempts = 0  # number of times that the reply was published
         self.is_unroutable = False  # the reply could not be delivered to its queue
 
+    def drop_content(self) -> None:
+        """Free what only the request needs, which may take much more memory than the rest until it is settled."""
+        self.properties.headers = {}
+        self.body = bytearray()
+
     @property
     def is_returned_reply(self) -> bool:
         """Return True if this is a reply that the broker returned as unroutable."""
@@ -86,7 +91,7 @@
         self._bytes_left = delivery.body_size = decode_body_size(payload)
         self._has_header = True
         try:
-            delivery.properties = decode_properties(payload)
+            delivery.properties = decode_properties(payload, REQUEST_HEADERS)
         except MalformedPropertiesError as err:  # only this message is affected, since its size is known
             delivery.properties = err.properties
             delivery.properties_error = str(err)
--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from lapispick import admission
+from lapispick.host.amqp import content
 from lapispick.host.amqp.codec import is_unicode
 from lapispick.host.amqp.content import Properties
 from lapispick.host.amqp.deliveries import Delivery
@@ -67,9 +68,9 @@
         )
 
     def _class_index(self, properties: Properties, queue: Queue) -> int:
-        name = properties.headers.get("class") or properties.type or queue.class_name
+        name = properties.headers.get(content.CLASS_HEADER) or properties.type or queue.class_name
         if name not in self._class_names:
-            raise InvalidMessageError(f"unknown request class {name!r}")
+            raise InvalidMessageError(f"unknown request class {repr(name)[:MAX_SHOWN_LENGTH]}")
         return self._class_names.index(name)
 
     def _tenant(self, properties: Properties, queue: Queue) -> str:
@@ -77,15 +78,15 @@
 
         It becomes part of idempotency keys, which are text in all fronts and in the messages of an upgrade.
         """
-        tenant = properties.headers.get("customer") or queue.tenant
+        tenant = properties.headers.get(content.TENANT_HEADER) or queue.tenant
         if isinstance(tenant, int) and not isinstance(tenant, bool):
             tenant = str(tenant)
         if not isinstance(tenant, str):
             raise InvalidMessageError(f"expected the header customer as text or a whole number, got a {_kind(tenant)}")
         if not is_unicode(tenant):
-            raise InvalidMessageError(f"expected the header customer in UTF-8, got {tenant!r}")
+            raise InvalidMessageError(f"expected the header customer in UTF-8, got {tenant[:MAX_SHOWN_LENGTH]!r}")
         if self._tenants and tenant not in self._tenants:
-            raise InvalidMessageError(f"unknown customer {tenant!r}")
+            raise InvalidMessageError(f"unknown customer {tenant[:MAX_SHOWN_LENGTH]!r}")
         return tenant
 
     def _deadline_at(self, properties: Properties, created_at_ms: float, class_index: int) -> float:
@@ -115,14 +116,14 @@
 
 def _created_at_ms(properties: Properties) -> float:
     """Return Unix ms from the header in milliseconds, else from the property in seconds, or 0 if neither is set."""
-    header_ms = properties.headers.get("timestamp_in_ms")
+    header_ms = properties.headers.get(content.CREATED_AT_HEADER)
     if isinstance(header_ms, int) and not isinstance(header_ms, bool) and header_ms > 0:
         return float(header_ms)
     return properties.timestamp * 1000.0 if properties.timestamp else 0.0
 
 
 def _memory_kb(properties: Properties, queue: Queue) -> float:
-    size_kb = properties.headers.get("size", queue.request_memory_kb)
+    size_kb = properties.headers.get(content.MEMORY_HEADER, queue.request_memory_kb)
     if isinstance(size_kb, bool) or not isinstance(size_kb, int | float) or not 0 < size_kb < MAX_REQUEST_MEMORY_KB:
         shown = repr(size_kb)[:MAX_SHOWN_LENGTH]
         raise InvalidMessageError(f"expected a size above 0 and below {MAX_REQUEST_MEMORY_KB:g} KB, got {shown}")
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -1,6 +1,8 @@
 """Tests of the AMQP front: the codec against bytes of the specification, the running host against a fake broker."""
 
 import collections
+import contextlib
+import random
 import struct
 import threading
 import time
@@ -481,6 +483,45 @@
     assert [reply.queue.encode(errors=codec.KEEP_BYTES) for reply in host.broker.replies] == [LATIN_2]
 
 
+def test_headers_of_very_many_short_fields_stay_within_the_memory_limit(consuming_host):
+    # Guards against decoding and retaining fields that say nothing about the request; they took megabytes a message.
+    limits = {"memory_mb": 64}
+    host = consuming_host(broker=Broker(frame_max_bytes=131_072), prefetch=1000, limits=limits)
+    host.broker.withholds_confirms = True
+    headers = {f"{number:x}": number for number in range(8000)}
+    properties = Properties(type="track", headers=headers, reply_to="answers", correlation_id="many")
+    frames = content.encode_content(0, properties, b"x", 131_072)
+    for _ in range(150):
+        host.broker.put("jobs", "x", encode_first_content=lambda channel: on_channel(frames, channel))
+    wait_until(lambda: len(host.broker.answers("many")) == 150, "all replies")
+    assert host.peak_memory_mb() < limits["memory_mb"]
+
+
+def on_channel(frames, channel):
+    """Return encoded frames with another channel number."""
+    changed, position = bytearray(frames), 0
+    while position < len(frames):
+        _, _, size = codec.FRAME_HEADER.unpack_from(frames, position)
+        struct.pack_into(">H", changed, position + 1, channel)
+        position += codec.FRAME_HEADER.size + size + 1
+    return bytes(changed)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_fields_of_some_names_are_decoded_as_in_the_whole_table(seed):
+    # Guards against a skipped value that ends elsewhere than where its decoder ends.
+    rng = random.Random(seed)
+    values = [True, -5, 1.5, "é", "", {"x": {"size": 3}}, {}]
+    encoded = codec.encode_table({f"{number:x}": rng.choice(values) for number in range(rng.randrange(40))})[4:]
+    encoded += b"\x01pb\xff\x01qA\x00\x00\x00\x04t\x01t\x00\x01rV\x01sD\x02\x00\x00\x01\x00\x01uU\xff\xfe\x00V"
+    table = codec.decode_table(encoded)
+    names = rng.sample(sorted(table), rng.randrange(len(table)))
+    assert codec.decode_fields(encoded, names) == {name: table[name] for name in names}
+    for end in range(len(encoded)):
+        with contextlib.suppress(CodecError):
+            assert codec.decode_fields(encoded[:end], ()) == {}
+
+
 def test_a_routing_key_that_is_not_utf_8_does_not_end_the_connection(consuming_host):
     # Guards against one message that ends the connection of its queue each time that it is delivered.
     host = consuming_host()
