Limit the length of an AMQP customer's name, which is part of keys

Cause: the header is a long string, becomes part of the idempotency key, and the key is retained for its window and 30 s more.

Change: a name of more than 255 characters is answered as failed. A message-id can't be longer by the protocol, so a key's size is limited now.

--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -18,6 +18,7 @@
 from lapispick.platform_settings import StartSettings
 
 MAX_EXPIRATION_DIGITS = 12
+MAX_TENANT_LENGTH = 255  # characters; a tenant is part of the keys, which are retained
 MAX_SHOWN_LENGTH = 20  # characters of an invalid value in an error message
 
 
@@ -83,8 +84,11 @@
             tenant = str(tenant)
         if not isinstance(tenant, str):
             raise InvalidMessageError(f"expected the header customer as text or a whole number, got a {_kind(tenant)}")
-        if not is_unicode(tenant):
-            raise InvalidMessageError(f"expected the header customer in UTF-8, got {tenant[:MAX_SHOWN_LENGTH]!r}")
+        if len(tenant) > MAX_TENANT_LENGTH or not is_unicode(tenant):
+            raise InvalidMessageError(
+                f"expected the header customer in UTF-8 with at most {MAX_TENANT_LENGTH} characters, "
+                f"got {tenant[:MAX_SHOWN_LENGTH]!r}"
+            )
         if self._tenants and tenant not in self._tenants:
             raise InvalidMessageError(f"unknown customer {tenant[:MAX_SHOWN_LENGTH]!r}")
         return tenant
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -522,6 +522,18 @@
             assert codec.decode_fields(encoded[:end], ()) == {}
 
 
+def test_a_customer_of_unlimited_length_becomes_no_key(consuming_host):
+    # Guards against keys of any size, which are retained: ever new names filled the memory.
+    info = make_platform_info()
+    info["Parties"] = []
+    host = consuming_host(tenant="", info=info)
+    _, long_id = put_request(host.broker, "x", "book", headers={"customer": "n" * 256})
+    _, short_id = put_request(host.broker, "y", "book", headers={"customer": "n" * 255})
+    assert wait_for_answer(host, long_id).outcome == "failed"
+    assert wait_for_answer(host, short_id).outcome == "served"
+    assert [run.body for run in host.executor.runs] == ["y"]
+
+
 def test_a_routing_key_that_is_not_utf_8_does_not_end_the_connection(consuming_host):
     # Guards against one message that ends the connection of its queue each time that it is delivered.
     host = consuming_host()
