Split the store's replies and parts of a gateway's connection into modules

The reader of HTTP replies, the record of a peer's activity and the table of open requests are modules of their own now; no behaviour changed.

--- a/lapispick/host/jsonrpc/connection.py
+++ b/lapispick/host/jsonrpc/connection.py
@@ -13,7 +13,7 @@
 
 from lapispick import admission
 from lapispick.host import events
-from lapispick.host.connection_eviction import ConnectionState, is_overdue
+from lapispick.host.connection_eviction import ConnectionState
 from lapispick.host.jsonrpc import messages
 from lapispick.host.jsonrpc.messages import (
     CANCEL_METHOD,
@@ -23,8 +23,10 @@
     InvalidMessageError,
     Message,
 )
+from lapispick.host.jsonrpc.open_requests import OpenRequests
+from lapispick.host.jsonrpc.peer_activity import PeerActivity
 from lapispick.host.logs import log
-from lapispick.host.requests import Answer, AnswerKind, Request
+from lapispick.host.requests import Answer, AnswerKind
 from lapispick.host.scheduler import EventLoop
 from lapispick.host.streams import LineTooLongError, Stream
 
@@ -32,7 +34,6 @@
 MAX_OPEN_REQUESTS = 32  # per connection
 MESSAGES_PER_YIELD = 16  # messages read from one connection before other greenlets run
 MAX_PROTOCOL_ERRORS = 3  # without a served request in between; then the connection is closed
-STALLED_READER_S = 3.0  # a reader that has acknowledged no data for this long may be evicted
 HALF_CLOSED_TIMEOUT_S = 10.0  # for sending the answers to a slow reader that has shut down its sending side
 
 
@@ -49,114 +50,6 @@
     on_closed: Callable[[Connection], None]
 
 
-class PeerActivity:
-    """Times at which the peer of a connection sent data, and whether that data was valid."""
-
-    __slots__ = (
-        "_stream",
-        "_was_overdue",
-        "accepted_at",
-        "has_sent_valid_message",
-        "last_used_at",
-        "message_started_at",
-        "protocol_error_count",
-    )
-
-    def __init__(self, stream: Stream) -> None:
-        self.accepted_at = self.last_used_at = time.monotonic()
-        self.message_started_at = 0.0  # when an incomplete message started; 0 = there is none
-        self.has_sent_valid_message = False
-        self.protocol_error_count = 0  # since the last served request
-        self._stream = stream
-        self._was_overdue = False  # at an earlier check
-
-    def state(self, has_requests: bool) -> ConnectionState:
-        """Return the state that decides on eviction.
-
-        ``has_requests`` is True if some requests are not answered yet.
-        """
-        stream = self._stream
-        has_line = stream.has_line()
-        has_incomplete_message = stream.unread_bytes > 0 and not has_line
-        is_stalled = stream.stalled_s() > STALLED_READER_S
-        message_started_at = 0.0
-        if has_incomplete_message:
-            message_started_at = self.message_started_at or stream.last_received_at
-        return ConnectionState(
-            self.accepted_at,
-            self.last_used_at,
-            stream.last_received_at,
-            stream.receive_count,
-            message_started_at,
-            # A complete message that is not processed yet counts as a request.
-            has_requests or has_line or (stream.unsent_bytes > 0 and not is_stalled),
-            self.has_sent_valid_message,
-            self.protocol_error_count > 0 or stream.closing or is_stalled,
-        )
-
-    def is_overdue(self, has_requests: bool, now: float) -> bool:
-        """Return True if the peer has sent nothing, or has left a message incomplete, for too long."""
-        stream = self._stream
-        if self.message_started_at and not stream.unread_bytes:
-            self.message_started_at = 0.0
-        elif not self.message_started_at and stream.unread_bytes and not stream.has_line():
-            self.message_started_at = now
-        if self.has_sent_valid_message and not (self.message_started_at or stream.unsent_bytes):
-            return False
-        if not is_overdue(self.state(has_requests), now):  # ``state`` also samples the progress of a slow reader
-            return False
-        # Input in the kernel's buffer may be unread because this host was delayed: the peer gets one more check.
-        has_input = not self._was_overdue and stream.has_pending_input()
-        self._was_overdue = True
-        return not has_input
-
-
-class OpenRequests:
-    """Unanswered requests of one connection, by the ids of their messages."""
-
-    __slots__ = ("_post", "_unposted", "by_id")
-
-    def __init__(self, post: Callable[[events.Event], None]) -> None:
-        self.by_id: dict[int, Request] = {}
-        self._unposted: dict[int, Request] = {}  # the part of ``by_id`` that is not yet posted to the core
-        self._post = post
-
-    def add(self, message_id: int, request: Request) -> None:
-        """Add a request without posting it; ``post_new`` posts it."""
-        self.by_id[message_id] = self._unposted[message_id] = request
-
-    def post_new(self) -> None:
-        """Post the requests that were added since the last call."""
-        if self._unposted:
-            requests = self._unposted
-            self._unposted = {}
-            for request in requests.values():
-                self._post(events.RequestArrived(request))
-
-    def find_cancelled(self, message: Message) -> int | None:
-        """Return the id of the request that a cancel message refers to, by message id or by attempt id."""
-        params = message.params
-        message_id = params.cancelled_id if params.cancelled_id is not None else message.id
-        if message_id in self.by_id or not params.attempt_id:
-            return message_id
-        for open_id, request in self.by_id.items():
-            if request.request_id == params.attempt_id:
-                return open_id
-        return None
-
-    def cancel(self, message_id: int) -> None:
-        """Cancel a request because its gateway asked to."""
-        request = self.by_id.pop(message_id)
-        before_arrival = self._unposted.pop(message_id, None) is not None
-        self._post(events.ClientCancelled(request, before_arrival))
-
-    def abandon(self, message_id: int) -> None:
-        """Remove a request that is invalid or whose connection closes; cancel it if it was posted to the core."""
-        request = self.by_id.pop(message_id)
-        if self._unposted.pop(message_id, None) is None:
-            self._post(events.ClientCancelled(request))
-
-
 class Connection:
     """Connection of one gateway, with the open requests on it."""
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,7 +13,7 @@
 from lapispick.fakes.start_settings import PLATFORM_INFO, make_platform_info
 from lapispick.fakes.store import UNUSABLE_REPLIES
 from lapispick.fakes.waiting import wait_until
-from lapispick.host import store
+from lapispick.host import store, store_replies
 from lapispick.host.store import SETTLE_S
 from tests.host_support import FAILED_CODE
 
@@ -33,19 +33,19 @@
 @pytest.mark.parametrize("head", [[], [b"HTTP/1.1 200 OK", b"Transfer-Encoding: chunked", b"", b"0"]])
 def test_endless_headers_are_rejected_at_the_line_limit(head):
     """Endless headers, or trailers after the chunks, would keep the host busy until the call's timeout."""
-    lines = itertools.chain(head, itertools.repeat(b"X-More: of it", 2 * store.MAX_HEADER_LINES))
+    lines = itertools.chain(head, itertools.repeat(b"X-More: of it", 2 * store_replies.MAX_HEADER_LINES))
 
     class EndlessStream:
         def read_line(self, _):
             return next(lines)
 
-    reader = store.ReplyReader(EndlessStream(), time.monotonic() + 10)
-    with pytest.raises(store.MalformedReplyError):
+    reader = store_replies.ReplyReader(EndlessStream(), time.monotonic() + 10)
+    with pytest.raises(store_replies.MalformedReplyError):
         if head:
             reader.read()
         else:
             reader.read_headers()
-    assert sum(1 for _ in lines) >= store.MAX_HEADER_LINES - 1
+    assert sum(1 for _ in lines) >= store_replies.MAX_HEADER_LINES - 1
 
 
 @pytest.mark.parametrize("reply", ["early", "double", "trail"])
@@ -100,7 +100,7 @@
             return True
 
     connection = store.StoreConnection(IdleStream())
-    replies = [store.Reply(200, {}, str(number).encode()) for number in range(store.MAX_CALLS_PER_CONNECTION)]
+    replies = [store_replies.Reply(200, {}, str(number).encode()) for number in range(store.MAX_CALLS_PER_CONNECTION)]
     for reply in replies[:-1]:
         assert connection.add_reply(reply)
         assert connection.is_reusable(reply)
