Fail unmarked repeats after an old process ended in an upgrade without records

Cause: after such an end the new process fails what was created before it and what is marked as a retry. The setting Callers.MarksRetry, by which tries may bear no mark, was not read, and AMQP messages that a client publishes once more have no mark.

Evidence: two of the new tests failed before, as the repeat was served by a second run; the one where retries are marked held.

Change: where retries are not marked, any keyed request created within one window after an end in an upgrade is failed. A run of the old process reached it before its end, so no repeat within the window of that run is left.

--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -64,6 +64,8 @@
             idempotency_key=("amqp", tenant, class_name, properties.message_id) if is_keyed else None,
             reply=reply,
             tenant=tenant,
+            # Only the broker's redeliveries are marked, not messages that a client publishes once more.
+            retries_are_marked=False,
             # A redelivered message may have been executed by another process or host.
             lookup_only=delivery.redelivered and idempotency is not admission.Idempotency.IDEMPOTENT,
         )
--- a/lapispick/host/core/idempotency.py
+++ b/lapispick/host/core/idempotency.py
@@ -109,7 +109,13 @@
         request = entry.request
         expires_at_ms = request.arrived_at + self._classes[request.class_index].idempotency_window_ms
         return self.ownership.claim(
-            entry.id, record, request.created_at, expires_at_ms, request.is_retry, self._clock.now
+            entry.id,
+            record,
+            request.created_at,
+            expires_at_ms,
+            request.is_retry,
+            self._clock.now,
+            request.retries_are_marked,
         )
 
     # How a run of a key ends.
--- a/lapispick/host/jsonrpc/connection.py
+++ b/lapispick/host/jsonrpc/connection.py
@@ -47,6 +47,7 @@
     classes: tuple[admission.ClassSettings, ...]
     tenants: set[str]
     needs_timeout: bool
+    retries_are_marked: bool
     on_closed: Callable[[Connection], None]
 
 
@@ -181,7 +182,9 @@
             self._on_protocol_error(message_id, ErrorCode.REJECTED, "too many open requests", closes=True)
             return
         self.activity.has_sent_valid_message = True
-        request = messages.build_request(message, class_index, lambda answer: self._on_answer(message_id, answer))
+        request = messages.build_request(
+            message, class_index, context.retries_are_marked, lambda answer: self._on_answer(message_id, answer)
+        )
         self.requests.add(message_id, request)
 
     def _on_cancel(self, message: Message) -> None:
--- a/lapispick/host/jsonrpc/front.py
+++ b/lapispick/host/jsonrpc/front.py
@@ -111,6 +111,7 @@
             classes=settings.classes,
             tenants={tenant.name for tenant in start_settings.tenants},
             needs_timeout=start_settings.host.callers_send_deadline,
+            retries_are_marked=start_settings.callers.retries_are_marked,
             on_closed=self.connections.discard,
         )
         self._max_message_bytes = messages.max_message_bytes(self._context.class_indexes, self._context.tenants)
--- a/lapispick/host/jsonrpc/messages.py
+++ b/lapispick/host/jsonrpc/messages.py
@@ -174,7 +174,9 @@
         raise InvalidMessageError(f"doc holds {size} bytes")
 
 
-def build_request(message: Message, class_index: int, reply: Callable[[Answer], None]) -> Request:
+def build_request(
+    message: Message, class_index: int, retries_are_marked: bool, reply: Callable[[Answer], None]
+) -> Request:
     """Return the request for the core that a valid message describes."""
     params = message.params
     return Request(
@@ -191,6 +193,7 @@
         idempotency_key=("nonce", params.idempotency_key) if params.idempotency_key else None,
         tenant=params.tenant,
         is_retry=bool(params.is_retry),
+        retries_are_marked=retries_are_marked,
         reply=reply,
     )
 
--- a/lapispick/host/requests.py
+++ b/lapispick/host/requests.py
@@ -47,6 +47,7 @@
     idempotency_key: Hashable | None  # the same for all attempts of one request
     reply: Callable[[Answer], None]
     tenant: str = ""  # for traces only
-    is_retry: bool = False  # an earlier attempt may have run
+    is_retry: bool = False  # marked by its client: an earlier attempt may have run
+    retries_are_marked: bool = True  # if not, any request may be a retry
     lookup_only: bool = False  # may be answered from the idempotency table but must not run
     read_at: float = 0.0  # Unix ms; when the request was read; 0 unless the extended metrics are enabled
--- a/lapispick/idempotency/ownership.py
+++ b/lapispick/idempotency/ownership.py
@@ -14,7 +14,8 @@
 A request that waits for longer than ``CLAIM_TIMEOUT_MS`` is rejected, because it has not been executed. A request whose
 execution the other process announced, but not its end, counts as executed and failed. If the other process ended
 without ``HandoverComplete``, it may have continued without a link. The outcome of requests created before its end, and
-of all retries, is then unknown for one idempotency window. Times are in Unix ms.
+of all retries, is then unknown for one idempotency window. Where retries are not marked, any request may be one. Times
+are in Unix ms.
 """
 
 from __future__ import annotations
@@ -73,6 +74,7 @@
         expires_at_ms: float,
         is_retry: bool,
         now_ms: float,
+        retries_are_marked: bool = True,
     ) -> Verdict:
         """Decide whether an attempt may be executed; ``record`` is the record of its key.
 
@@ -81,7 +83,7 @@
         """
         if record.executed_attempt:
             return Verdict.COALESCE
-        if self.unknown_outcomes.covers(created_at_ms, is_retry):
+        if self.unknown_outcomes.covers(created_at_ms, is_retry, retries_are_marked):
             return Verdict.FAIL
         if self.role is Role.STANDALONE:
             record.mark_started(attempt, expires_at_ms)
@@ -96,7 +98,12 @@
         elif self.role is Role.FOLLOWER:
             self._send_to_peer(
                 messages.ClaimRequest(
-                    attempt, _key(record), created_at_ms, expires_at_ms, record.request_digest, is_retry
+                    attempt,
+                    _key(record),
+                    created_at_ms,
+                    expires_at_ms,
+                    record.request_digest,
+                    is_retry or not retries_are_marked,
                 )
             )
         self._pending[record.key] = PendingClaim(attempt, record, now_ms)
@@ -221,7 +228,7 @@
         ``ended_at_ms`` is set if it owned the keys and ended without ``HandoverComplete``.
         """
         if ended_at_ms:
-            self.unknown_outcomes.record_process_end(ended_at_ms)
+            self.unknown_outcomes.record_process_end(ended_at_ms, in_upgrade=True)
         # The owner may continue even if the follower is running: without a link, a follower gets no permission to
         # execute anything.
         if not peer_ended and self.role is not Role.OWNER:
--- a/lapispick/platform_settings.py
+++ b/lapispick/platform_settings.py
@@ -79,6 +79,12 @@
     enabled: bool = field(name="RetryAfter")
 
 
+class CallerProperties(msgspec.Struct, rename="pascal"):
+    """Properties of the clients: ``Callers``."""
+
+    retries_are_marked: bool = field(name="MarksRetry", default=True)
+
+
 class PlatformGuarantees(msgspec.Struct, rename="pascal"):
     """Figures that the platform's rules guarantee: ``Guarantees``."""
 
@@ -98,6 +104,7 @@
     weight_by: str = field(name="ValueBy")
     tier: int = field(name="Layer")
     tenants: list[Tenant] = field(name="Parties", default_factory=list)
+    callers: CallerProperties = field(name="Callers", default_factory=CallerProperties)
 
 
 def admission_settings(settings: StartSettings) -> admission.Settings:
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -324,6 +324,24 @@
     assert len(old.executor.runs + new.executor.runs) == 1
 
 
+def test_a_booking_that_a_hanging_old_process_ran_is_not_run_again(consuming_host, host, shared_address, tmp_path):
+    # Guards against taking a message that was published once more for a first one, as clients do not mark it.
+    info = make_platform_info(({}, {"Window": 60_000.0}))
+    old = consuming_host(listen=shared_address(), info=info)
+    booking = {"class_name": "book", "message_id": "m1"}
+    _, correlation_id = put_request(old.broker, "ran", **booking)
+    assert wait_for_answer(old, correlation_id).outcome == "served"
+    with old.suspended():
+        new = host(successor_of=old, environ={"LAPISPICK_CONF": str(tmp_path / "own.conf")})
+        old.process.kill()
+    new.broker = old.broker
+    new.wait_for_log("owns-keys")
+    new.wait_for_log("consuming")
+    _, correlation_id = put_request(new.broker, "ran", **booking)
+    assert wait_for_answer(new, correlation_id).outcome == "failed"
+    assert not new.executor.runs
+
+
 def test_a_booking_that_waited_in_its_queue_does_not_count_as_read_late(consuming_host):
     """Guards against the time in a queue counting as a delay of this process, which halves its slots."""
     host = consuming_host()
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -277,6 +277,11 @@
     assert not unknown.covers(10.0, is_retry=True)
     assert unknown.covers(3.0, is_retry=False)
     assert not unknown.covers(3.1, is_retry=False)
+    assert not unknown.covers(3.1, is_retry=False, retries_are_marked=False)  # it did not end in an upgrade
+    unknown.record_process_end(5.0, in_upgrade=True)
+    assert unknown.covers(11.9, is_retry=False, retries_are_marked=False)
+    assert not unknown.covers(12.0, is_retry=False, retries_are_marked=False)
+    assert not unknown.covers(5.1, is_retry=False)
 
 
 def test_an_attempt_that_was_not_executed_releases_its_key_at_both_processes():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -230,6 +230,33 @@
     assert wait_until_ready(host(successor_of=new))
 
 
+@pytest.mark.parametrize("retries_are_marked", [True, False])
+def test_a_key_that_a_hanging_old_process_ran_is_not_run_again_where_retries_are_not_marked(
+    host, shared_address, retries_are_marked
+):
+    # Guards against taking a request for a first one because it has no mark, where the settings say that none has.
+    info = {**LONG_WINDOW_INFO, "Callers": {"MarksRetry": retries_are_marked}}
+    old = host(listen=shared_address(), info=info)
+    gateway, key = old.gateway(), make_idempotency_key()
+    assert gateway.result(gateway.request("book", "ran", key)) == "did ran"
+    with old.suspended():
+        new = host(successor_of=old)  # it can't link to the old process
+        old.process.kill()
+    new.wait_for_log("owns-keys")
+    new.wait_for_log("open")
+    gateway = new.gateway()
+    first_id = gateway.request("book", "first", make_idempotency_key())
+    if retries_are_marked:
+        assert gateway.result(first_id) == "did first"
+        repeat_id = gateway.request("book", "ran", key, redo=1)
+    else:
+        assert gateway.error_code(first_id) != REJECTED_CODE
+        repeat_id = gateway.request("book", "ran", key)
+    assert gateway.error_code(repeat_id) != REJECTED_CODE
+    assert gateway.result(gateway.request("track", "x")) == "did x"
+    assert execution_count("ran", old, new) == 1
+
+
 def test_an_old_process_that_hangs_delays_no_answer_beyond_its_deadline(host, shared_address):
     old = host(listen=shared_address(), info=LONG_WINDOW_INFO)
     new = host(successor_of=old)
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -81,6 +81,7 @@
     "start settings, guarantees": platform_settings.PlatformGuarantees,
     "start settings, class": platform_settings.RequestClass,
     "start settings, tenant": platform_settings.Tenant,
+    "start settings, callers": platform_settings.CallerProperties,
     "module's settings": admission.Settings,
     "module's settings, class": admission.ClassSettings,
     "agent, status": agent_messages.Status,
@@ -245,6 +246,7 @@
         classes=platform_settings.admission_settings(info).classes,
         tenants={"acme"},
         needs_timeout=True,
+        retries_are_marked=True,
         on_closed=lambda connection: None,
     )
     answers = {}
