Fail unmarked repeats in the third process of two upgrades in a row

If a process ended in an upgrade without its records and the next upgrade followed within one window, the third process got the time of that end and not that it was in an upgrade, so it ran unmarked repeats. It takes any end that it is told of for one in an upgrade now. The extended test failed before. Shown with the state machines and their messages, not with running hosts.

--- a/lapispick/idempotency/ownership.py
+++ b/lapispick/idempotency/ownership.py
@@ -178,7 +178,8 @@
                 if completed:
                     self._notify(self.table.complete_by_peer(key, result), result)
             case messages.UnknownOutcomesUntil(ended_at_ms):
-                self.unknown_outcomes.record_process_end(ended_at_ms)
+                # That process may have ended in an upgrade, after which unmarked retries are to fail here too.
+                self.unknown_outcomes.record_process_end(ended_at_ms, in_upgrade=True)
             case messages.KeyClaimed(key, expires_at_ms, request_digest):
                 self.table.mark_executed_by_peer(key, expires_at_ms, request_digest)
             case messages.KeyCompleted(key, result):
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -422,6 +422,7 @@
     new.request(KEYS[0], executions.now + 1)
     assert new.answers == {1: "failed"}
     assert not executions.by_key
+    assert new.ownership.unknown_outcomes.covers(executions.now + 1, is_retry=False, retries_are_marked=False)
 
 
 def test_a_late_snapshot_does_not_revert_a_later_announcement():
