Accept AMQP expirations with any number of digits

Callers saw: a message with the expiration, which publishers write for messages that never expire, or with leading zeros, was failed. Found in the search for bounds on a message that come from one form of writing it.

Cause: a limit of 12 digits. Now the value is limited, to 10^12 ms as before. The three new tests failed before ("failed" in place of "served").

--- a/lapispick/host/amqp/request_builder.py
+++ b/lapispick/host/amqp/request_builder.py
@@ -17,7 +17,7 @@
 from lapispick.host.requests import MAX_BODY_BYTES, MAX_REQUEST_MEMORY_KB, Answer, Request
 from lapispick.platform_settings import StartSettings
 
-MAX_EXPIRATION_DIGITS = 12
+MAX_EXPIRATION_MS = 1e12  # publishers write very large numbers for messages that never expire
 MAX_TENANT_LENGTH = 255  # characters; a tenant is part of the keys, which are retained
 MAX_SHOWN_LENGTH = 20  # characters of an invalid value in an error message
 
@@ -99,11 +99,10 @@
         expiration = properties.expiration
         if expiration is None:
             return created_at_ms + self._classes[class_index].deadline_ms
-        is_number = expiration.isascii() and expiration.isdecimal()
-        if not is_number or len(expiration) > MAX_EXPIRATION_DIGITS:
+        if not (expiration.isascii() and expiration.isdecimal()):
             shown = expiration[:MAX_SHOWN_LENGTH]
             raise InvalidMessageError(f"expected an expiration in whole milliseconds, got {shown!r}")
-        return created_at_ms + float(expiration)
+        return created_at_ms + min(float(expiration), MAX_EXPIRATION_MS)
 
 
 def _check_message_id(properties: Properties, class_name: str) -> None:
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -173,6 +173,14 @@
     assert not host.executor.runs_of("past")
 
 
+@pytest.mark.parametrize("expiration", [str((1 << 63) - 1), "9" * 255, "0" * 20 + "60000"])
+def test_an_expiration_with_any_number_of_digits_is_a_deadline(consuming_host, expiration):
+    # Guards against a bound on the digits of a number, which rejects messages that never expire.
+    host = consuming_host()
+    _, correlation_id = put_request(host.broker, "x", expiration=expiration)
+    assert wait_for_answer(host, correlation_id).outcome == "served"
+
+
 def test_without_reply_to_the_settlement_is_the_only_answer(consuming_host):
     host = consuming_host()
     served, _ = put_request(host.broker, "fine", reply_to=None)
