--- a/lapispick/host/config.py
+++ b/lapispick/host/config.py
@@ -41,7 +41,7 @@
 MEMORY_TO_RESULTS_RATIO = 6  # memory limit divided by the bytes of retained results
 MEMORY_TO_REQUESTS_RATIO = 6  # memory limit divided by the memory for open requests
 MAX_REQUEST_BYTES = 8192  # memory of an open request, including all that belongs to it
-MAX_KEY_BYTES = 2048  # memory of an idempotency key with its record, without its result
+KEY_BYTES = 1024  # memory of an idempotency key with its record, without its result
 MIN_BROKER_CONNECTIONS = 2
 MIN_OPERATOR_CONNECTIONS = 4
 
@@ -106,7 +106,7 @@
     @property
     def max_keys(self) -> int:
         """Maximum number of idempotency keys that are retained in their window and, for late retries, after it."""
-        return self._memory_bytes // MEMORY_TO_KEYS_RATIO // MAX_KEY_BYTES
+        return self._memory_bytes // MEMORY_TO_KEYS_RATIO // KEY_BYTES
 
     @property
     def max_open_requests(self) -> int:
