--- a/benchmarks/misbehaving_clients.py
+++ b/benchmarks/misbehaving_clients.py
@@ -36,6 +36,7 @@
 LINES_PER_SEND = 64
 LIMITS = {"memory_mb": 192, "sockets": 1024}
 SLOW_BYTES_PER_S = 4000.0
+FULL_BODY_CHARACTERS = 2728  # of base64, for a body of 2,046 bytes
 LARGE_LINE_BYTES = 7800  # a line that was valid in all versions
 
 Lines = Callable[[random.Random], Iterator[bytes]]
@@ -128,7 +129,7 @@
 
 
 def _large_line(rng: random.Random) -> bytes:
-    body = "A" * 2728
+    body = "A" * FULL_BODY_CHARACTERS
     params = {**request_params(), "doc": body, "trace": f"{rng.getrandbits(64):016x}"}
     line = json.dumps({"jsonrpc": "2.0", "id": 1, "method": "track", "params": params}).encode()
     return line + b" " * (LARGE_LINE_BYTES - len(line)) + b"\n"
@@ -241,6 +242,21 @@
         yield b"{}\n"
 
 
+def longest_requests(rng: random.Random) -> Iterator[bytes]:
+    """Yield valid requests with a full body, all written with escapes, each of which is cancelled at once."""
+    escaped_body = b"\\u0041" * FULL_BODY_CHARACTERS
+    for number in range(1, 1 << 30):
+        yield _request(number, b"track", rng).replace(b"eA==", escaped_body)
+        yield b'{"jsonrpc":"2.0","method":"giveUp","params":{"id":%d}}\n' % number
+
+
+def longest_unsound_messages(rng: random.Random) -> Iterator[bytes]:
+    """Yield long messages of very many short parameters, without what a request needs."""
+    fields = b",".join(b'"%x":%d' % (number, number % 10) for number in range(2000))
+    for number in range(1, 1 << 30):
+        yield b'{"jsonrpc":"2.0","id":%d,"method":"track","params":{%b}}\n' % (number, fields)
+
+
 def garbage(rng: random.Random) -> Iterator[bytes]:
     """Yield lines that are not JSON."""
     while True:
@@ -298,6 +314,8 @@
     "new customers": new_customers,
     "unsound beside valid": unsound_and_valid,
     "not JSON": garbage,
+    "longest requests": longest_requests,
+    "longest unsound messages": longest_unsound_messages,
 }
 
 
