--- a/lapispick/host/amqp/codec.py
+++ b/lapispick/host/amqp/codec.py
@@ -22,7 +22,7 @@
 LENGTH_BYTES = 4  # of the length before a long string, a table or an array
 MAX_TABLE_DEPTH = 16  # of nested tables and arrays
 MAX_SHORT_STRING_BYTES = 255
-KEEP_BYTES = "surrogateescape"  # error handler of the text codec that keeps bytes which are not UTF-8
+TEXT_ERRORS = "surrogateescape"  # error handler by which bytes that are not UTF-8 are kept
 
 
 class FrameType(IntEnum):
@@ -163,10 +163,10 @@
 
 
 def decode_fields(encoded: bytes, names: Collection[str]) -> dict[str, object]:
-    """Return the fields of a table that have one of these names, where ``encoded`` has no length before it.
+    """Return the fields of a table that have one of these names; ``encoded`` begins after the table's length.
 
-    The values of other fields are skipped: a publisher may send tens of thousands of fields, which would take megabytes
-    when decoded, and their content does not matter. Raises ``CodecError`` where the next field can't be located.
+    The values of other fields are skipped, not decoded: a publisher may send tens of thousands of them, which would
+    take megabytes. Raises ``CodecError`` where the next field can't be located.
     """
     raw_names = {_encode_text(name): name for name in names}
     fields: dict[str, object] = {}
@@ -199,11 +199,11 @@
 
 
 def _decode_text(raw: bytes) -> str:
-    return raw.decode(errors=KEEP_BYTES)
+    return raw.decode(errors=TEXT_ERRORS)
 
 
 def _encode_text(text: str) -> bytes:
-    return text.encode(errors=KEEP_BYTES)
+    return text.encode(errors=TEXT_ERRORS)
 
 
 def is_unicode(text: str) -> bool:
--- a/lapispick/host/amqp/content.py
+++ b/lapispick/host/amqp/content.py
@@ -25,7 +25,7 @@
 CONTENT_HEADER = struct.Struct(">HHQH")  # class, weight, body size in bytes, flags of the properties that are present
 FLAGS_OFFSET_BYTES = 12  # from the start of the content header
 FIRST_FLAG_BIT = 15  # position of the flag of the first property
-CONTINUATION_FLAG = 1  # a further word of flags follows; the basic class has no properties for it
+CONTINUATION_FLAG = 1  # a further word of flags follows; the basic class uses one
 
 # Headers that describe a request; no others are decoded.
 CLASS_HEADER = "class"
--- a/lapispick/host/jsonrpc/peer_activity.py
+++ b/lapispick/host/jsonrpc/peer_activity.py
@@ -1,4 +1,4 @@
-"""What the peer of a connection has sent and when, which decides on closing the connection."""
+"""Activity of the peer of a connection, by which the connection may be closed."""
 
 from __future__ import annotations
 
--- a/lapispick/json_decoding.py
+++ b/lapispick/json_decoding.py
@@ -25,7 +25,7 @@
 
 
 def whole_number(number: float) -> int:
-    """Return a number without a fraction as an ``int``; JSON has no integers, so 7.0 and 7e0 are the same as 7.
+    """Return a number without a fraction as an ``int``: in JSON, 7.0 and 7e0 are the same number as 7.
 
     Raises ``ValueError`` for a fraction. In a struct's ``__post_init__``, msgspec makes a ``ValidationError``.
     """
--- a/tests/test_amqp.py
+++ b/tests/test_amqp.py
@@ -504,9 +504,9 @@
     host = consuming_host()
     replaced = [(b"########", LATIN_2), (b"++++++++", LATIN_2)]
     put_with_content(host.broker, "x", replaced, correlation_id="########", reply_to="++++++++")
-    text = LATIN_2.decode(errors=codec.KEEP_BYTES)
+    text = LATIN_2.decode(errors=codec.TEXT_ERRORS)
     assert wait_until(lambda: host.broker.reply(text), "the reply").outcome == "served"
-    assert [reply.queue.encode(errors=codec.KEEP_BYTES) for reply in host.broker.replies] == [LATIN_2]
+    assert [reply.queue.encode(errors=codec.TEXT_ERRORS) for reply in host.broker.replies] == [LATIN_2]
 
 
 def test_headers_of_very_many_short_fields_stay_within_the_memory_limit(consuming_host):
@@ -563,7 +563,7 @@
 def test_a_routing_key_that_is_not_utf_8_does_not_end_the_connection(consuming_host):
     # Guards against one message that ends the connection of its queue each time that it is delivered.
     host = consuming_host()
-    host.broker.routing_key = LATIN_2.decode(errors=codec.KEEP_BYTES)
+    host.broker.routing_key = LATIN_2.decode(errors=codec.TEXT_ERRORS)
     _, correlation_id = put_request(host.broker, "x")
     assert wait_for_answer(host, correlation_id).outcome == "served"
     assert host.log().count("event=connected") == 1
