Wait for the process that creates a SQLite database instead of failing at once

Seen: `rollout start` ended with "database is locked" when `rollout status` opened the new folder in the same instant (a test of the whole suite, once).

Ruled out: a lock that was held for longer than the timeout (it failed after at most 4 ms), a stale controller (the folder was new).

Change: sqlite_files.open_database repeats the change until the busy timeout; the stores of rollouts and of hosts share it.

--- a/lapispick/agent/rollout_store.py
+++ b/lapispick/agent/rollout_store.py
@@ -24,6 +24,7 @@
 )
 from lapispick.json_decoding import json_decoder
 from lapispick.rollout.rollout_state import RolloutState
+from lapispick.sqlite_files import open_database
 
 VERSION = 1
 DATABASE_FILE = "rollouts.db"
@@ -62,9 +63,7 @@
         self.path = folder / DATABASE_FILE
         self.epoch = 0
         try:
-            self._db = sqlite3.connect(self.path, timeout=BUSY_TIMEOUT_S, isolation_level=None, check_same_thread=False)
-            self._db.execute("pragma journal_mode=wal")
-            self._db.execute("pragma synchronous=full")
+            self._db = open_database(self.path, BUSY_TIMEOUT_S)
             with self._transaction():
                 self._create_or_check_schema()
         except READ_ERRORS as err:
--- a/lapispick/durable/database.py
+++ b/lapispick/durable/database.py
@@ -19,6 +19,7 @@
 
 from lapispick.durable.records import DurableRecord
 from lapispick.idempotency.states import KeyState
+from lapispick.sqlite_files import open_database
 
 SCHEMA_VERSION = 1
 BUSY_TIMEOUT_S = 1.0  # longest wait for a lock of another process that reads the database
@@ -98,9 +99,7 @@
     def __init__(self, path: Path, host: str) -> None:
         self.path = path
         try:
-            self._db = sqlite3.connect(path, timeout=BUSY_TIMEOUT_S, isolation_level=None, check_same_thread=False)
-            self._db.execute("pragma journal_mode=wal")
-            self._db.execute("pragma synchronous=full")  # a commit is durable when it returns
+            self._db = open_database(path, BUSY_TIMEOUT_S)
             self._db.execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
             self.incarnation = self._begin_incarnation(host)
         except READ_ERRORS as err:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -25,6 +25,7 @@
     "lapispick.shares",
     "lapispick.model",
     "lapispick.atomic_files",
+    "lapispick.sqlite_files",
     "lapispick.rollout",
     "lapispick.agent",
     "lapispick.versions",
