--- a/lapispick/agent/controller.py
+++ b/lapispick/agent/controller.py
@@ -10,7 +10,6 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
-from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
@@ -50,7 +49,7 @@
     analysis_bounds: AnalysisBounds
     hours: Hours | None = None  # of the day at which stages may begin; None = at all hours
     excluded_days: tuple[str, ...] = ()
-    names_file: Path | None = None
+    names_file: str | None = None
 
 
 class Controller:
--- a/lapispick/cli/rollout_control.py
+++ b/lapispick/cli/rollout_control.py
@@ -4,7 +4,6 @@
 
 import sys
 import time
-from pathlib import Path
 
 from lapispick.agent.controller import Controller, ControllerOptions
 from lapispick.agent.rollout_store import RolloutStore
@@ -57,7 +56,6 @@
 
 def _controller_options(state: RolloutState, fleet: Fleet, default_memory_limit_mb: float) -> ControllerOptions:
     settings = fleet.settings
-    names_file = fleet.source.settings.hosts_file
     bounds = AnalysisBounds(
         false_alarm_probability=settings.false_alarm_probability,
         stage_count=max(1, len(state.plan.stages)),
@@ -70,5 +68,5 @@
         analysis_bounds=bounds,
         hours=pacing.parse_hours(settings.hours),
         excluded_days=settings.excluded_days,
-        names_file=Path(str(names_file)) if names_file else None,
+        names_file=fleet.source.settings.hosts_file,
     )
--- a/lapispick/conf/checks.py
+++ b/lapispick/conf/checks.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Iterator, Mapping
-from pathlib import Path
 
 import msgspec
 
@@ -65,7 +65,7 @@
     if trace.subject_key is None:
         return
     try:
-        size = Path(trace.subject_key).stat().st_size
+        size = os.stat(trace.subject_key).st_size
         if not MIN_SUBJECT_KEY_BYTES <= size <= MAX_SUBJECT_KEY_BYTES:
             yield _Problem(
                 "subject-key",
--- a/lapispick/conf/legacy.py
+++ b/lapispick/conf/legacy.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import tomllib
 from collections.abc import Mapping
-from pathlib import Path
 
 import msgspec
 
+from lapispick.conf import paths
 from lapispick.conf.sections import AmqpSettings, Settings
 from lapispick.conf.settings import LEGACY_PATH, LEGACY_PATH_VARIABLE
 from lapispick.file_errors import FaultCollector, InvalidFileError, SourceLocation, suggest_nearest
@@ -15,19 +16,20 @@
 KEY_TYPES = {"enabled": bool, "inventory": str, "group": str}
 
 
-def legacy_path(environ: Mapping[str, str]) -> Path | None:
+def legacy_path(environ: Mapping[str, str]) -> str | None:
     """Return the path of the ``amqp.toml``, None if there is none."""
     if path := environ.get(LEGACY_PATH_VARIABLE):
-        return Path(path)
-    return Path(LEGACY_PATH) if Path(LEGACY_PATH).exists() else None
+        return path
+    return LEGACY_PATH if os.path.exists(LEGACY_PATH) else None
 
 
-def apply_legacy_file(settings: Settings, path: Path) -> Settings:
+def apply_legacy_file(settings: Settings, path: str) -> Settings:
     """Return the settings with the values of the ``amqp.toml`` applied; raises ``InvalidFileError``."""
     faults = FaultCollector()
-    location = SourceLocation(str(path))
+    location = SourceLocation(path)
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        with open(path, "rb") as file:
+            values = tomllib.load(file)
     except (OSError, ValueError) as err:
         faults.add(location, "", str(err))
         raise InvalidFileError(faults.collected) from None
@@ -45,7 +47,7 @@
     if not values.get("enabled", False):
         return settings
     inventory = msgspec.structs.replace(
-        settings.inventory, path=path.parent / values["inventory"], group=values.get("group", "amqp")
+        settings.inventory, path=paths.relative_to_file(path, values["inventory"]), group=values.get("group", "amqp")
     )
     return msgspec.structs.replace(
         settings, inventory=inventory, amqp=AmqpSettings(enabled=True, drain_timeout_s=settings.amqp.drain_timeout_s)
--- a/lapispick/conf/parser.py
+++ b/lapispick/conf/parser.py
@@ -14,10 +14,10 @@
 
 import shlex
 from collections.abc import Callable
-from pathlib import PurePath
 
 import msgspec
 
+from lapispick.conf import paths
 from lapispick.file_errors import FaultCollector, SourceLocation
 
 MAX_FILES = 64  # in one configuration
@@ -42,7 +42,7 @@
 
 
 # Returns the path and the text of each file that matches a pattern, in order; raises ``OSError`` or ``ValueError``.
-FileReader = Callable[[PurePath], list[tuple[PurePath, str]]]
+FileReader = Callable[[str], list[tuple[str, str]]]
 
 
 class Parser:
@@ -52,14 +52,14 @@
         self.faults = FaultCollector()
         self.sections: list[Section] = []
         self._read_files = read_files
-        self._open_files: list[PurePath] = []  # the files being parsed, the outermost first
+        self._open_files: list[str] = []  # the files being parsed, the outermost first
         self._file_count = 0
         self._line_count = 0
         self._open_section: Section | None = None
 
-    def parse_files(self, pattern: PurePath, location: SourceLocation | None = None) -> None:
+    def parse_files(self, pattern: str, location: SourceLocation | None = None) -> None:
         """Parse the files that match a pattern, and collect their faults; ``location`` is that of the ``include``."""
-        location = location or SourceLocation(str(pattern))
+        location = location or SourceLocation(pattern)
         if len(self._open_files) >= MAX_INCLUDE_DEPTH:
             return self.faults.add(
                 location,
@@ -74,7 +74,7 @@
         for path, text in files:
             self._file_count += 1
             if path in self._open_files:
-                chain = " -> ".join(str(file) for file in (*self._open_files, path))
+                chain = " -> ".join((*self._open_files, path))
                 self.faults.add(location, "include", f"a file includes itself: {chain}")
             elif self._file_count > MAX_FILES:
                 return self.faults.add(
@@ -83,7 +83,7 @@
             else:
                 self._parse_text(path, text)
 
-    def _parse_text(self, path: PurePath, text: str) -> None:
+    def _parse_text(self, path: str, text: str) -> None:
         self._open_files.append(path)
         outer_section = self._open_section
         self._open_section = None
@@ -91,12 +91,12 @@
             self._line_count += 1
             if self._line_count > MAX_LINES:
                 self.faults.add(
-                    SourceLocation(str(path), line_number),
+                    SourceLocation(path, line_number),
                     "",
                     f"expected a configuration of at most {MAX_LINES} lines, got more",
                 )
                 break
-            self._parse_line(SourceLocation(str(path), line_number), raw_line)
+            self._parse_line(SourceLocation(path, line_number), raw_line)
         if self._open_section is not None:
             self.faults.add(
                 self._open_section.location,
@@ -131,7 +131,7 @@
             return self.faults.add(location, "include", f"expected one path or pattern, got {len(arguments)} arguments")
         if self._open_section is not None:
             return self.faults.add(location, "include", f"not allowed within section {self._open_section.name}")
-        self.parse_files(self._open_files[-1].parent / arguments[0], location)
+        self.parse_files(paths.relative_to_file(self._open_files[-1], arguments[0]), location)
 
     def _begin_section(self, location: SourceLocation, arguments: tuple[str, ...]) -> None:
         if len(arguments) != 1:
--- a/lapispick/conf/sections.py
+++ b/lapispick/conf/sections.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from pathlib import PurePath
 from typing import Annotated, Any
 
 import msgspec
@@ -25,7 +24,7 @@
 class InventorySettings(msgspec.Struct, frozen=True):
     """Location of the host list, and the conditions under which a change of it is accepted."""
 
-    path: Annotated[PurePath | None, _directive(value_types.path, "file or folder with the host list")] = None
+    path: Annotated[str | None, _directive(value_types.path, "file or folder with the host list")] = None
     group: Annotated[str, _directive(value_types.text, "group whose hosts are used")] = "amqp"
     domain: Annotated[str, _directive(value_types.text, "appended to host names without a dot")] = ""
     delimiter: Annotated[
@@ -82,11 +81,11 @@
         float, _directive(value_types.duration, "time for which a stuck change counts", 0, 3600)
     ] = msgspec.field(default=10.0, name="change_wait")
     state_folder: Annotated[
-        PurePath | None, _directive(value_types.path, "stores the last good list; needs a persistent disk")
+        str | None, _directive(value_types.path, "stores the last good list; needs a persistent disk")
     ] = None
-    hosts_file: Annotated[
-        PurePath | None, _directive(value_types.path, "addresses of host names, looked up before DNS")
-    ] = msgspec.field(default=None, name="names_file")
+    hosts_file: Annotated[str | None, _directive(value_types.path, "addresses of host names, looked up before DNS")] = (
+        msgspec.field(default=None, name="names_file")
+    )
     resolve_interval_s: Annotated[
         float, _directive(value_types.duration, "interval between look-ups of a name", 0.05, 86_400)
     ] = msgspec.field(default=30.0, name="names_every")
@@ -99,9 +98,9 @@
     """The worker hosts of the list; ``InventorySettings`` says how the list is read and when it is accepted."""
 
     group: Annotated[str, _directive(value_types.text, "group whose hosts are worker hosts")] = ""
-    state_folder: Annotated[
-        PurePath | None, _directive(value_types.path, "stores the last good list of worker hosts")
-    ] = None
+    state_folder: Annotated[str | None, _directive(value_types.path, "stores the last good list of worker hosts")] = (
+        None
+    )
 
 
 class AmqpSettings(msgspec.Struct, frozen=True):
@@ -119,9 +118,7 @@
     enabled: Annotated[
         bool, _directive(value_types.boolean, "record the events and actions of the decision module")
     ] = False
-    folder: Annotated[
-        PurePath | None, _directive(value_types.path, "holds the trace files; needs a persistent disk")
-    ] = None
+    folder: Annotated[str | None, _directive(value_types.path, "holds the trace files; needs a persistent disk")] = None
     buffer_bytes: Annotated[
         int,
         _directive(
@@ -144,7 +141,7 @@
         msgspec.field(default=7 * 86_400.0, name="keep_age")
     )
     subject_key: Annotated[
-        PurePath | None, _directive(value_types.path, "file with the secret that hosts share to compare traces")
+        str | None, _directive(value_types.path, "file with the secret that hosts share to compare traces")
     ] = None
     sync: Annotated[
         str, _directive(value_types.text, "when trace data is synced to the disk", choices=("no", "file", "block"))
@@ -158,7 +155,7 @@
         True
     )
     folder: Annotated[
-        PurePath | None, _directive(value_types.path, "folder that both processes share; TMPDIR by default")
+        str | None, _directive(value_types.path, "folder that both processes share; TMPDIR by default")
     ] = None
 
 
@@ -183,7 +180,7 @@
         str, _directive(value_types.text, "name of the fleet; messages of another fleet are dropped")
     ] = msgspec.field(default="fleet", name="name")
     state_folder: Annotated[
-        PurePath | None, _directive(value_types.path, "stores the process epoch; needs a persistent disk")
+        str | None, _directive(value_types.path, "stores the process epoch; needs a persistent disk")
     ] = None
     probe_interval_s: Annotated[float, _directive(value_types.duration, "interval between probes", 0.05, 60)] = (
         msgspec.field(default=1.0, name="period")
@@ -246,10 +243,10 @@
     """Settings of a host's agent, which starts the host and replaces its generations."""
 
     folder: Annotated[
-        PurePath | None, _directive(value_types.path, "holds its state and generations; needs a persistent disk")
+        str | None, _directive(value_types.path, "holds its state and generations; needs a persistent disk")
     ] = None
     host_config: Annotated[
-        PurePath | None, _directive(value_types.path, "file with the platform's configuration of this host")
+        str | None, _directive(value_types.path, "file with the platform's configuration of this host")
     ] = msgspec.field(default=None, name="config")
     listen: Annotated[str, _directive(value_types.text, "address for the calls of controllers, IP:PORT")] = (
         "127.0.0.1:0"
@@ -290,7 +287,7 @@
     """Settings of the rollout controller, which changes the program or its settings in stages across the fleet."""
 
     state_folder: Annotated[
-        PurePath | None, _directive(value_types.path, "holds the store of rollouts; needs a persistent disk")
+        str | None, _directive(value_types.path, "holds the store of rollouts; needs a persistent disk")
     ] = None
     controller_name: Annotated[str, _directive(value_types.text, "name by which the agents know this controller")] = (
         msgspec.field(default="controller", name="who")
--- a/lapispick/conf/settings.py
+++ b/lapispick/conf/settings.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+import fnmatch
 import os
 from collections.abc import Mapping
-from pathlib import Path, PurePath
 from typing import Any, get_type_hints
 
 import msgspec
 
-from lapispick.conf import checks, value_types
+from lapispick.conf import checks, paths, value_types
 from lapispick.conf.parser import Line, Parser, Section
 from lapispick.conf.sections import Settings
 from lapispick.conf.value_types import Directive
@@ -44,10 +44,10 @@
     }
 
 
-def parse(path: PurePath) -> Settings:
+def parse(path: str | os.PathLike[str]) -> Settings:
     """Read a settings file and the files that it includes; raises ``InvalidFileError`` with all faults."""
     parser = Parser(_read_files)
-    parser.parse_files(path)
+    parser.parse_files(paths.normalize(os.fspath(path)))
     faults = parser.faults
     types = section_types()
     sections_by_name: dict[str, list[Section]] = {}
@@ -72,9 +72,9 @@
     return settings
 
 
-def settings_path(environ: Mapping[str, str] = os.environ) -> Path:
+def settings_path(environ: Mapping[str, str] = os.environ) -> str:
     """Return the path of the settings file."""
-    return Path(environ.get(PATH_VARIABLE) or DEFAULT_PATH)
+    return environ.get(PATH_VARIABLE) or DEFAULT_PATH
 
 
 def has_legacy_file(environ: Mapping[str, str] = os.environ) -> bool:
@@ -88,7 +88,7 @@
     Returns the defaults if the environment names no file and there is none at the default path.
     """
     path = settings_path(environ)
-    if not environ.get(PATH_VARIABLE) and not path.exists():
+    if not environ.get(PATH_VARIABLE) and not os.path.exists(path):
         return Settings()
     return parse(path)
 
@@ -111,18 +111,29 @@
     return formatted
 
 
-def _read_files(pattern: PurePath) -> list[tuple[PurePath, str]]:
+def _read_files(pattern: str) -> list[tuple[str, str]]:
     """Return the path and the text of each file that matches a pattern; raises ``OSError`` or ``ValueError``."""
-    path = Path(pattern)
-    paths = sorted(path.parent.glob(path.name)) if set(path.name) & set("*?[") else [path]
-    files: list[tuple[PurePath, str]] = []
-    for file_path in paths:
-        if (size := file_path.stat().st_size) > MAX_FILE_BYTES:
+    files: list[tuple[str, str]] = []
+    for file_path in _matching_files(pattern):
+        if (size := os.stat(file_path).st_size) > MAX_FILE_BYTES:
             raise ValueError(f"expected at most {MAX_FILE_BYTES} bytes, got {size}")
-        files.append((PurePath(file_path), file_path.read_text(encoding="utf-8-sig")))
+        with open(file_path, encoding="utf-8-sig") as file:
+            files.append((file_path, file.read()))
     return files
 
 
+def _matching_files(pattern: str) -> list[str]:
+    """Return the sorted files that match a pattern in the last part of the path; a path without one is returned."""
+    folder, name_pattern = os.path.split(pattern)
+    if not set(name_pattern) & set("*?["):
+        return [pattern]
+    try:
+        names = os.listdir(folder or ".")
+    except FileNotFoundError:
+        return []
+    return [os.path.join(folder, name) for name in sorted(fnmatch.filter(names, name_pattern))]
+
+
 def _read_section(
     name: str, type_: type[msgspec.Struct], sections: list[Section], faults: FaultCollector
 ) -> msgspec.Struct:
@@ -158,7 +169,7 @@
     except ValueError as err:
         return faults.add(line.location, line.name, str(err))
     if directive.value_type is value_types.path:
-        parsed = [PurePath(line.location.file).parent / path for path in parsed]
+        parsed = [paths.relative_to_file(line.location.file, path) for path in parsed]
     values[field.name] = (*values.get(field.name, ()), *parsed) if directive.repeatable else parsed[0]
 
 
--- a/lapispick/conf/value_types.py
+++ b/lapispick/conf/value_types.py
@@ -8,11 +8,12 @@
 import re
 from collections.abc import Callable, Mapping
 from math import isfinite
-from pathlib import PurePath
 from typing import Any
 
 import msgspec
 
+from lapispick.conf import paths
+
 DURATION_UNITS_S = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86_400.0}
 SIZE_UNITS_BYTES = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
 TRUE_VALUES = ("yes", "on", "true")
@@ -71,11 +72,11 @@
     return value
 
 
-def path(raw: str) -> PurePath:
+def path(raw: str) -> str:
     """Parse a path; the caller resolves a relative one against the folder of the settings file."""
     if not raw or "\0" in raw:
         raise ValueError(f"expected the path of a file or folder, got {raw!r}")
-    return PurePath(raw)
+    return paths.normalize(raw)
 
 
 def format_value(value: Any) -> str:
--- a/lapispick/host/assembly.py
+++ b/lapispick/host/assembly.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import socket
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from lapispick.conf.sections import Settings
@@ -125,7 +124,7 @@
         try:
             return Handover(
                 self._loop,
-                Path(folder),
+                folder,
                 HostIdentity(config.name, config.listen),
                 config.limits.max_unsent_bytes,
                 self.gateways,
--- a/lapispick/host/dns_resolver.py
+++ b/lapispick/host/dns_resolver.py
@@ -4,7 +4,6 @@
 
 import logging
 import socket
-from pathlib import Path
 from typing import NamedTuple
 
 from lapispick.fleet import identity
@@ -55,7 +54,7 @@
     Its threads end with the process.
     """
 
-    def __init__(self, loop: EventLoop, timeout_s: float, hosts_file: Path | None) -> None:
+    def __init__(self, loop: EventLoop, timeout_s: float, hosts_file: str | None) -> None:
         self._threads = WorkerThreads(loop, LOOKUP_THREADS, MAX_WAITING_LOOKUPS)
         self._timeout_s = timeout_s
         self._hosts_file = hosts_file
@@ -87,7 +86,7 @@
         return LookupResult(list(addresses)[:MAX_ADDRESSES_PER_NAME])
 
     @staticmethod
-    def _read_hosts_file(file: Path) -> dict[str, list[str]]:
+    def _read_hosts_file(file: str) -> dict[str, list[str]]:
         try:
             with open(file, encoding="utf-8", errors="replace") as stream:
                 return parse_hosts(stream.read(MAX_HOSTS_FILE_BYTES))
--- a/lapispick/host/handover/key_lock.py
+++ b/lapispick/host/handover/key_lock.py
@@ -10,7 +10,6 @@
 import fcntl
 import os
 import time
-from pathlib import Path
 
 OPEN_FLAGS = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
 FILE_MODE = 0o600
@@ -21,10 +20,10 @@
 class KeyLock:
     """Lock on the idempotency keys, with the lock of the successor."""
 
-    def __init__(self, folder: Path, stem: str) -> None:
+    def __init__(self, folder: str, stem: str) -> None:
         """Open both lock files; raises ``OSError`` if the folder can't hold them."""
-        self._owner_file = os.open(folder / f"{stem}.lock", OPEN_FLAGS, FILE_MODE)
-        self._successor_file = os.open(folder / f"{stem}.next", OPEN_FLAGS, FILE_MODE)
+        self._owner_file = os.open(os.path.join(folder, f"{stem}.lock"), OPEN_FLAGS, FILE_MODE)
+        self._successor_file = os.open(os.path.join(folder, f"{stem}.next"), OPEN_FLAGS, FILE_MODE)
         self.acquired = False
         self.previous_end_s = 0.0  # latest time at which an earlier holder may have ended, in Unix s; 0 = no holder
 
--- a/lapispick/host/handover/service.py
+++ b/lapispick/host/handover/service.py
@@ -6,7 +6,6 @@
 import socket
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from lapispick.digests import blake2b
@@ -39,7 +38,7 @@
     def __init__(
         self,
         loop: EventLoop,
-        folder: Path,
+        folder: str,
         identity: HostIdentity,
         max_unsent_bytes: int,
         gateways: JsonRpcFront,
--- a/lapispick/host/handover/unix_socket.py
+++ b/lapispick/host/handover/unix_socket.py
@@ -5,7 +5,6 @@
 import os
 import socket
 from contextlib import suppress
-from pathlib import Path
 
 from lapispick.host.scheduler import EventLoop
 from lapispick.host.streams import Stream
@@ -19,10 +18,10 @@
 class SocketAddress:
     """Address of the socket. If its path is too long for an address, it goes through a descriptor of the folder."""
 
-    def __init__(self, folder: Path, file_name: str) -> None:
+    def __init__(self, folder: str, file_name: str) -> None:
         """Open the folder; raises ``OSError`` if it can't be opened."""
         self._folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        self.path = str(folder / file_name)
+        self.path = os.path.join(folder, file_name)
         if len(os.fsencode(self.path)) > MAX_ADDRESS_BYTES:
             self.path = f"/proc/self/fd/{self._folder}/{file_name}"
 
--- a/lapispick/host/members/directory.py
+++ b/lapispick/host/members/directory.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections.abc import Callable
-from pathlib import Path
 from typing import NamedTuple
 
 from lapispick.conf.sections import InventorySettings
@@ -48,8 +47,7 @@
         self.addresses: dict[str, Address] = {}
         self._loop = loop
         self._on_change = on_change
-        hosts_file = Path(settings.hosts_file) if settings.hosts_file else None
-        self._resolver = DnsResolver(loop, settings.resolve_timeout_s, hosts_file)
+        self._resolver = DnsResolver(loop, settings.resolve_timeout_s, settings.hosts_file)
         self._inventory = Inventory(loop, settings, hosts.SCHEMA, self.accept)
 
     def serve(self) -> None:
--- a/lapispick/host/members/process_epoch.py
+++ b/lapispick/host/members/process_epoch.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from pathlib import Path, PurePath
+from pathlib import Path
 
 from lapispick import atomic_files
 from lapispick.host.logs import log
@@ -15,7 +15,7 @@
 MAX_START_EPOCH = MAX_EPOCH >> 1  # leaves half of the range for later epochs
 
 
-def next_process_epoch(folder: PurePath | None) -> int:
+def next_process_epoch(folder: str | None) -> int:
     """Return and save the epoch of this start; blocks on the disk.
 
     The epoch is the higher of the saved epoch plus one and the Unix time in seconds. Without a folder it is the Unix
@@ -27,7 +27,7 @@
     return epoch
 
 
-def _saved_epoch(folder: PurePath | None) -> int:
+def _saved_epoch(folder: str | None) -> int:
     if folder is None:
         return 0
     path = Path(folder) / FILE_NAME
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -32,7 +32,7 @@
     (tmp_path / "more/x.conf").write_text("section amqp\n enabled yes\n drain 1m\nend\n")
     parsed = settings.parse(path)
     inventory = parsed.inventory
-    assert inventory.path == tmp_path / "my list.yml"
+    assert inventory.path == str(tmp_path / "my list.yml")
     assert parsed.amqp == AmqpSettings(True, 60.0)
     assert inventory.settle_s == 0.2
     assert inventory.max_loss_fraction == 0.17
@@ -117,7 +117,7 @@
 @given(st.text(max_size=200))
 def test_the_parser_accepts_any_text_without_an_exception(text):
     conf_parser = parser.Parser(lambda path: [(path, text)])
-    conf_parser.parse_files(parser.PurePath("x"))
+    conf_parser.parse_files("x")
     assert isinstance(conf_parser.sections, list)
 
 
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -656,7 +656,7 @@
     path.write_bytes((SAMPLES / "host-config.json").read_bytes())
     config = host_config.load({"LB_CONFIG": str(path), "LB_OPS": "127.0.0.1:9999"})
     assert (config.name, config.ops) == ("n3", "127.0.0.1:9999")
-    assert operator_settings.settings_path({"LAPISPICK_CONF": "a.conf"}) == Path("a.conf")
+    assert operator_settings.settings_path({"LAPISPICK_CONF": "a.conf"}) == "a.conf"
 
 
 def test_files_named_in_balancer_toml_exist():
