Measure limits on peers by the time in which this process could read

Cause: the limit of 2.3 s for a message was measured on the monotonic clock, which goes on during a pause. And a message that was given up on was discarded while its connection stayed open, so that its id was never read. Ruled out: the check for input in the kernel, which helps only if the peer did not stand still as well.

Change: the event loop keeps an active time, which advances by at most the wait that was asked for when the loop was over 50 ms late. Limits on messages, silent connections, slow readers and idle gateways, operators' calls and every wait for a descriptor are measured on it. Deadlines, windows of keys and leases are not: there the safe side is the other one. A connection that closes after its open answers is read on, and a whole message is rejected under its id.

--- a/lapispick/host/jsonrpc/connection.py
+++ b/lapispick/host/jsonrpc/connection.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -62,7 +61,7 @@
         self._context = context
         self._last_id = 0
         self._goaway_sent = False
-        self._closes_after_answers = False  # nothing more is read, but open requests are still answered
+        self.closes_after_answers = False  # no more requests are accepted, but open ones are still answered
 
     def serve(self) -> None:
         """Read messages until the gateway closes the connection or shuts down its sending side."""
@@ -70,7 +69,7 @@
         line_count = 0
         try:
             while not self.stream.closed and (line := self.stream.read_line()) is not None:
-                activity.last_used_at = time.monotonic()
+                activity.last_used_at = self._context.loop.active_time()
                 activity.message_started_at = 0.0
                 if line.strip():
                     self._on_line(line)
@@ -107,17 +106,19 @@
 
     def close_gracefully(self) -> None:
         """Fail the open requests, and close the connection once all written data is sent."""
-        self._closes_after_answers = True
+        self.closes_after_answers = True
         for message_id in list(self.requests.by_id):
             self.requests.abandon(message_id)
             self._send_error(message_id, ErrorCode.FAILED, "The connection ends")
         self.stream.close_gracefully()
 
     def close_after_answers(self) -> None:
-        """Answer an incomplete message with an error, stop reading, and close once all open requests are answered."""
+        """Answer an incomplete message with an error, accept no more, and close once all open requests are answered.
+
+        The connection stays open meanwhile, so it is read on: a message that arrives whole is rejected under its id.
+        """
         self._send_error(None, ErrorCode.INVALID_REQUEST, "the message did not come whole in time")
-        self._closes_after_answers = True
-        self.stream.discard_input()
+        self.closes_after_answers = True
         self._on_request_ended()
 
     def send_goaway(self) -> None:
@@ -139,6 +140,9 @@
     # Messages.
 
     def _on_line(self, line: bytes) -> None:
+        if self.closes_after_answers:
+            self._reject(line)
+            return
         try:
             message = messages.decode(line)
         except msgspec.DecodeError as err:
@@ -153,6 +157,16 @@
         elif self._accept_id(message.id):
             self._on_request(message.id, message)
 
+    def _reject(self, line: bytes) -> None:
+        """Reject a message under its id; the error for the incomplete message has answered one without an id."""
+        try:
+            message_id = messages.decode_id(line).id
+        except msgspec.DecodeError:
+            return
+        if message_id is not None and self._last_id < message_id <= MAX_MESSAGE_ID:
+            self._last_id = message_id
+            self._send_error(message_id, ErrorCode.REJECTED, "the connection ends")
+
     def _accept_id(self, message_id: int) -> bool:
         """Record a message id and return True if it is new.
 
@@ -249,12 +263,12 @@
         self._on_request_ended()
 
     def _on_request_ended(self) -> None:
-        self.activity.last_used_at = time.monotonic()
+        self.activity.last_used_at = self._context.loop.active_time()
         if self.stream.failed:
             self.close()
         elif not self.requests.by_id and self.input_ended:
             self.stream.close_gracefully(HALF_CLOSED_TIMEOUT_S)
-        elif not self.requests.by_id and self._closes_after_answers:
+        elif not self.requests.by_id and self.closes_after_answers:
             self.stream.close_gracefully()
 
     def _send_error(
--- a/lapispick/host/jsonrpc/front.py
+++ b/lapispick/host/jsonrpc/front.py
@@ -8,7 +8,6 @@
 import errno
 import logging
 import socket
-import time
 from collections.abc import Callable, Iterator
 
 from lapispick import admission
@@ -39,15 +38,16 @@
 class Evictor:
     """Closes connections in the order of eviction; the computed order is reused for several evictions."""
 
-    def __init__(self, connections: set[Connection]) -> None:
+    def __init__(self, connections: set[Connection], clock: Callable[[], float]) -> None:
         self._connections = connections
+        self._clock = clock  # that of the times in ``ConnectionState``
         self._candidates: Iterator[tuple[Connection, EvictionClass]] | None = None  # in the order of eviction
         self._ordered_at = 0.0
         self._first_class = EvictionClass.AT_FAULT  # of the first candidate in the order
 
     def evict(self) -> bool:
         """Close the first connection in the order of eviction; return False if no connection may be closed."""
-        now = time.monotonic()
+        now = self._clock()
         is_fresh = False
         while not is_fresh:
             age_s = now - self._ordered_at
@@ -120,7 +120,7 @@
         self._is_shutting_down = False
         self._listen_address = listen
         self._listener: socket.socket | None = None
-        self._evictor = Evictor(self.connections)
+        self._evictor = Evictor(self.connections, loop.active_time)
 
     # Listening.
 
@@ -209,7 +209,7 @@
     def _sweep(self) -> None:
         """Close connections that exceed the limit, are overdue or are idle."""
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-        now = time.monotonic()
+        now = self.loop.active_time()
         while len(self.connections) > budget.max_connections(self._max_connections, self.peer_connections):
             if not self._evictor.evict():
                 break
@@ -220,7 +220,7 @@
         stream = connection.stream
         if stream.closed:
             connection.close()
-        elif stream.discarding or connection.input_ended:
+        elif connection.closes_after_answers or stream.discarding or connection.input_ended:
             pass  # the connection is being closed
         elif connection.is_overdue(now):
             open_count = len(connection.requests.by_id)
@@ -257,7 +257,7 @@
     def is_idle(self) -> bool:
         """Return True if no connection has open requests, unsent answers or input that may contain requests."""
         return not any(
-            connection.requests.by_id or connection.stream.unsent_bytes or _may_receive_requests(connection.stream)
+            connection.requests.by_id or connection.stream.unsent_bytes or _may_receive_requests(connection)
             for connection in self.connections
         )
 
@@ -275,6 +275,7 @@
         return not any(connection.stream.unsent_bytes for connection in self.connections)
 
 
-def _may_receive_requests(stream: Stream) -> bool:
-    """Return True if a stream that is still read has unprocessed input or has failed."""
-    return not (stream.discarding or stream.eof_received or stream.is_idle())
+def _may_receive_requests(connection: Connection) -> bool:
+    """Return True if a connection that still accepts requests has unprocessed input or has failed."""
+    stream = connection.stream
+    return not (connection.closes_after_answers or stream.discarding or stream.eof_received or stream.is_idle())
--- a/lapispick/host/jsonrpc/peer_activity.py
+++ b/lapispick/host/jsonrpc/peer_activity.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 from lapispick.host.connection_eviction import ConnectionState, is_overdue
 from lapispick.host.streams import Stream
 
@@ -11,7 +9,7 @@
 
 
 class PeerActivity:
-    """Times at which the peer of a connection sent data, and whether that data was valid."""
+    """Times at which the peer of a connection sent data, by the active time of the loop, and whether it was valid."""
 
     __slots__ = (
         "_stream",
@@ -24,7 +22,7 @@
     )
 
     def __init__(self, stream: Stream) -> None:
-        self.accepted_at = self.last_used_at = time.monotonic()
+        self.accepted_at = self.last_used_at = stream.loop.active_time()
         self.message_started_at = 0.0  # when an incomplete message started; 0 = there is none
         self.has_sent_valid_message = False
         self.protocol_error_count = 0  # since the last served request
--- a/lapispick/host/ops.py
+++ b/lapispick/host/ops.py
@@ -97,7 +97,7 @@
         return False
 
     def _serve_caller(self, stream: Stream) -> None:
-        timer = self._loop.call_later(CALL_TIMEOUT_S, stream.close)
+        timer = self._loop.call_later_active(CALL_TIMEOUT_S, stream.close)
         try:
             line = stream.read_line()
             if stream.closed:
--- a/lapispick/host/scheduler.py
+++ b/lapispick/host/scheduler.py
@@ -18,6 +18,7 @@
 WRITE = select.POLLOUT
 ERROR_EVENTS = select.POLLERR | select.POLLHUP | select.POLLNVAL
 MAX_ROUND_S = 0.02  # then the hub polls, even with calls left, so that urgent sockets wait for at most one more call
+MIN_STALL_S = 0.05  # shorter delays of the loop are part of its usual operation
 DEFAULT_MAX_TOTAL_UNSENT_BYTES = 4 << 20  # of all streams together
 
 if TYPE_CHECKING:
@@ -47,6 +48,33 @@
             self.loop.call_soon(self.greenlet.switch, value, urgent=self.urgent)
 
 
+class ActiveTimer:
+    """A call that is due once the active time of a loop has advanced by a duration, and can be cancelled until then."""
+
+    __slots__ = ("_args", "_callback", "_due_at", "_loop", "_timer")
+
+    def __init__(
+        self, loop: EventLoop, seconds: float, callback: Callable[..., object], args: tuple[object, ...]
+    ) -> None:
+        self._loop = loop
+        self._callback = callback
+        self._args = args
+        self._due_at = loop.active_time() + seconds
+        self._timer = loop.call_later(seconds, self._check)
+
+    def cancel(self) -> None:
+        """Prevent the call; no effect once it was made."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        remaining_s = self._due_at - self._loop.active_time()
+        if remaining_s > 0:  # the loop was stalled meanwhile
+            self._timer = self._loop.call_later(remaining_s, self._check)
+        else:
+            self._timer.cancel()  # it refers to this object
+            self._callback(*self._args)
+
+
 class EventLoop:
     """Runs greenlets until it is stopped. The greenlet that creates the loop is its hub; only the hub polls."""
 
@@ -60,6 +88,16 @@
         self._io_waiters: dict[int, dict[int, Waiter]] = {}  # by file descriptor, then by poll event
         self._stopped = False
         self.unsent_bytes = 0  # of all streams together
+        self._active_time = self._polled_at = time.monotonic()
+
+    def active_time(self) -> float:
+        """Return the time (s) of the last poll, on a clock that stands still while this process can't read.
+
+        That is while the process or its machine is paused, and while one step keeps the loop from polling. A limit on
+        how long a peer may take is measured on this clock. Of a pause that begins while the loop waits, the part up to
+        the next due timer is not noticed.
+        """
+        return self._active_time
 
     def call_soon(self, callback: Callable[[*Arguments], object], *args: *Arguments, urgent: bool = False) -> None:
         """Call a function from the hub in the next round; urgent calls are made before all others."""
@@ -70,6 +108,12 @@
         """Call a function from the hub after a delay (s)."""
         return self._timers.add(time.monotonic() + seconds, callback, args)
 
+    def call_later_active(
+        self, seconds: float, callback: Callable[[*Arguments], object], *args: *Arguments
+    ) -> ActiveTimer:
+        """Call a function from the hub once the active time has advanced by a duration (s)."""
+        return ActiveTimer(self, seconds, callback, args)
+
     def spawn(self, callback: Callable[[*Arguments], object], *args: *Arguments, urgent: bool = False) -> greenlet:
         """Run a function in a new greenlet."""
         task = greenlet(self._run_greenlet, self._hub)
@@ -101,7 +145,9 @@
 
     def suspend(self, waiter: Waiter, timeout: float | None = None) -> object:
         """Wait until the waiter is woken and return the value passed to ``wake``, or None after the timeout (s)."""
-        timer = None if timeout is None else self.call_later(timeout, waiter.wake)
+        return self._suspend(None if timeout is None else self.call_later(timeout, waiter.wake), waiter)
+
+    def _suspend(self, timer: Timer | ActiveTimer | None, waiter: Waiter) -> object:
         try:
             return self._hub.switch()
         finally:
@@ -110,12 +156,16 @@
                 timer.cancel()
 
     def wait_for_io(self, fd: int, event: int, timeout: float | None = None, urgent: bool = False) -> bool:
-        """Wait until a descriptor can be read or written; return False after the timeout (s) or a cancellation."""
+        """Wait until a descriptor can be read or written; return False after the timeout or a cancellation.
+
+        The timeout (s) is measured on the clock of ``active_time``.
+        """
         waiters = self._io_waiters.setdefault(fd, {})
         waiters[event] = waiter = Waiter(self, urgent)
         self._poll.register(fd, sum(waiters))
         try:
-            return bool(self.suspend(waiter, timeout))
+            timer = None if timeout is None else self.call_later_active(timeout, waiter.wake)
+            return bool(self._suspend(timer, waiter))
         finally:
             if self._io_waiters.get(fd) is waiters and waiters.get(event) is waiter:
                 del waiters[event]
@@ -141,6 +191,7 @@
 
     def run(self) -> None:
         """Poll for events and switch to greenlets until the loop is stopped."""
+        self._polled_at = time.monotonic()
         while not self._stopped:
             for _ in range(len(self._urgent_calls)):
                 self._call(*self._urgent_calls.popleft())
@@ -149,14 +200,25 @@
                 self._call(*self._ready_calls.popleft())
                 if time.monotonic() > round_end:  # the remaining calls precede what the poll adds, except urgent calls
                     break
-            for fd, events in self._poll.poll(self._poll_timeout_ms()):
+            timeout_ms = self._poll_timeout_ms()
+            ready = self._poll.poll(timeout_ms)
+            now = time.monotonic()
+            self._advance_active_time(now, timeout_ms)
+            for fd, events in ready:
                 for event, waiter in list(self._io_waiters.get(fd, {}).items()):
                     if events & (event | ERROR_EVENTS):
                         waiter.wake(True)
-            now = time.monotonic()
             while (timer := self._timers.pop_due(now)) is not None:
                 self._call(timer.callback, timer.args)
 
+    def _advance_active_time(self, now: float, timeout_ms: int | None) -> None:
+        """Add the time since the last poll, or only the wait that was asked for if the loop was stalled."""
+        elapsed_s = now - self._polled_at
+        self._polled_at = now
+        if timeout_ms is not None and elapsed_s > timeout_ms / 1000 + MIN_STALL_S:
+            elapsed_s = timeout_ms / 1000
+        self._active_time += elapsed_s
+
     def _call(self, callback: Callable[..., object], args: tuple[object, ...]) -> None:
         try:
             callback(*args)
--- a/lapispick/host/streams.py
+++ b/lapispick/host/streams.py
@@ -8,7 +8,6 @@
 import socket
 import struct
 import sys
-import time
 from contextlib import suppress
 from fcntl import ioctl
 
@@ -16,8 +15,7 @@
 
 from lapispick.host.errors import HostError
 from lapispick.host.logs import log
-from lapispick.host.scheduler import READ, WRITE, EventLoop
-from lapispick.host.timers import Timer
+from lapispick.host.scheduler import READ, WRITE, ActiveTimer, EventLoop
 
 DEFAULT_RECEIVE_BYTES = 65536  # the most that one read takes
 DEFAULT_MAX_LINE_BYTES = 65536
@@ -87,7 +85,7 @@
         self._data.clear()
 
     def _record_progress(self) -> None:
-        self._last_progress_at = time.monotonic()
+        self._last_progress_at = self._loop.active_time()
         self._unacknowledged_bytes = 0
 
     def stalled_s(self) -> float:
@@ -103,9 +101,9 @@
             queue_size = ioctl(self._sock.fileno(), SIOCOUTQ, queue_size)
         unacknowledged = int.from_bytes(queue_size, sys.byteorder)
         if unacknowledged < self._unacknowledged_bytes:
-            self._last_progress_at = time.monotonic()
+            self._last_progress_at = self._loop.active_time()
         self._unacknowledged_bytes = unacknowledged
-        return time.monotonic() - self._last_progress_at
+        return self._loop.active_time() - self._last_progress_at
 
 
 def _configure(sock: socket.socket) -> None:
@@ -141,13 +139,13 @@
         self.discarding = False  # input is read and discarded
         self.closing = False  # written data is still sent; further writes are ignored
         self.eof_received = False
-        self.last_received_at = 0.0
+        self.last_received_at = 0.0  # by the active time of the loop
         self.receive_count = 0
         self._input = bytearray()
         self._output = SendBuffer(loop, sock)
         self._flusher: greenlet | None = None
         self._discarded_bytes = 0
-        self._close_timer: Timer | None = None
+        self._close_timer: ActiveTimer | None = None
 
     @property
     def unsent_bytes(self) -> int:
@@ -187,7 +185,7 @@
                 waited = False
                 continue
             self._input += data
-            self.last_received_at = time.monotonic()
+            self.last_received_at = self.loop.active_time()
             self.receive_count += 1
             if not waited:  # a peer that sends without a pause must not starve other greenlets
                 self.loop.yield_control()
@@ -295,7 +293,7 @@
         if not self._output:
             self._half_close()
         if not self.closed:
-            self._close_timer = self.loop.call_later(timeout, self.close)
+            self._close_timer = self.loop.call_later_active(timeout, self.close)
 
     def _half_close(self) -> None:
         if not self.closed:
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -166,10 +166,11 @@
     """Connection that reads the given lines, calls the functions between them, and records the written data."""
 
     closed = failed = eof_received = closing = discarding = False
-    unsent_bytes = unread_bytes = received_bytes = 0
+    unsent_bytes = unread_bytes = 0
 
     def __init__(self, *inputs):
         self.inputs, self.written = list(inputs), []
+        self.loop = FakeLoop()
 
     def read_line(self, timeout=None):
         while self.inputs:
@@ -213,6 +214,9 @@
     def call_later(self, span, function, *arguments):
         pass
 
+    def active_time(self):
+        return time.monotonic()
+
 
 def decode_lines(written):
     return [json.loads(line) for line in b"".join(written).splitlines()]
